--- /dev/null
+++ b/internal/config/manifest.go
@@ -0,0 +1,63 @@
+// Package config holds the published configuration: the manifest, the snapshot
+// that hosts adopt and the rules by which they adopt it.
+package config
+
+import (
+	"net/netip"
+	"time"
+
+	"github.com/oatlatch/oatlatch/internal/service"
+)
+
+// Version numbers manifests. A host only ever adopts a higher one.
+type Version uint64
+
+// Manifest is the root object of a published configuration.
+type Manifest struct {
+	Version Version
+	// NextID is the next service ID to assign.
+	NextID service.ID
+	// FlowKey keys the hash of flows to slots, so that callers cannot aim at one upstream.
+	FlowKey [16]byte
+	// TicketKeys are MAC keys of request tickets, newest first; older ones are still accepted.
+	TicketKeys [][]byte
+	Services   []Entry
+	// Quarantined addresses were released by a service and may not be reused yet.
+	Quarantined []Quarantine
+	// Publications are the identifiers of the last publications, newest last.
+	Publications []Publication
+}
+
+// Entry names the object that holds one service.
+type Entry struct {
+	Name    string
+	ID      service.ID
+	Address netip.AddrPort
+	// Protocol is the protocol of Address: an address may be used once for each protocol.
+	Protocol service.Protocol
+	// Hash is the SHA-256 of the service object in hexadecimal.
+	Hash string
+	// Changed is the manifest version that last changed the entry.
+	Changed Version
+}
+
+// Quarantine is an address that a service has released.
+type Quarantine struct {
+	Address  netip.AddrPort
+	Protocol service.Protocol
+	// Released is the manifest version that released the address.
+	Released Version
+	// ReleasedAt is the publisher's wall clock.
+	ReleasedAt time.Time
+}
+
+// Publication identifies one write of the manifest.
+type Publication struct {
+	// ID is random and unique.
+	ID       string
+	Version  Version
+	Operator string
+	At       time.Time
+	// Services are the names of the services that the publication changed.
+	Services []string
+}
