--- /dev/null
+++ b/internal/peer/caller.go
@@ -0,0 +1,16 @@
+// Package peer carries net/rpc calls between entry hosts.
+package peer
+
+import (
+	"context"
+
+	"github.com/oatlatch/oatlatch/internal/host"
+)
+
+// Caller calls methods of other entry hosts.
+type Caller interface {
+	// Call invokes the net/rpc method, for example "Flow.Deliver", on the host.
+	// It returns an error when ctx ends, when the host is unknown or unreachable,
+	// or when the method fails. args and reply must be encodable by encoding/gob.
+	Call(ctx context.Context, to host.ID, method string, args, reply any) error
+}
