Read service files strictly and collect them from directories

Cause: operators drive the system by editing service files only, so a mistake must be named with its place and remedy before it is published. Change: inifile reads INI with unknown, repeated and malformed entries reported; service holds the validated form; collect reads directories and checks all files in one run.

--- /dev/null
+++ b/internal/collect/collect_test.go
@@ -0,0 +1,53 @@
+package collect_test
+
+import (
+	"errors"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/oatlatch/oatlatch/internal/collect"
+	"github.com/oatlatch/oatlatch/internal/inifile"
+)
+
+func TestExamplesAreAccepted(t *testing.T) {
+	services, err := collect.Directories([]string{"../../examples/amarres", "../../examples/kowhai-lane"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	want := map[string]int{"berth-desk": 14, "plan-store": 4, "call-desk": 14, "summary-store": 4}
+	if len(services) != len(want) {
+		t.Fatalf("want %d services, got %d", len(want), len(services))
+	}
+	for _, s := range services {
+		if len(s.Upstreams) != want[s.Name] {
+			t.Errorf("%s: want %d upstreams, got %d", s.Name, want[s.Name], len(s.Upstreams))
+		}
+	}
+}
+
+func TestAllProblemsAreReportedInOneRun(t *testing.T) {
+	dir := t.TempDir()
+	for name, text := range map[string]string{"a": "[service]\nname = A B\n", "b": "", "c": strings.Repeat("x", inifile.MaxBytes+100)} {
+		if err := os.WriteFile(filepath.Join(dir, name+collect.Extension), []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	_, err := collect.Directories([]string{dir})
+	var problems inifile.Problems
+	if !errors.As(err, &problems) {
+		t.Fatalf("want inifile.Problems, got %v", err)
+	}
+	for _, file := range []string{"a.oatlatch:service.name", "a.oatlatch:service.region", "b.oatlatch: the file is empty", "c.oatlatch: the file is too large"} {
+		if !strings.Contains(err.Error(), file) {
+			t.Errorf("no line for %s in:\n%v", file, err)
+		}
+	}
+}
+
+func TestDirectoryWithoutServiceFiles(t *testing.T) {
+	if _, err := collect.Directories([]string{t.TempDir()}); err == nil || !strings.Contains(err.Error(), "name a directory") {
+		t.Fatalf("want an error that names the remedy, got %v", err)
+	}
+}
--- /dev/null
+++ b/internal/service/parse.go
@@ -0,0 +1,120 @@
+package service
+
+import (
+	"fmt"
+	"net/netip"
+	"regexp"
+	"sort"
+	"strings"
+
+	"github.com/oatlatch/oatlatch/internal/inifile"
+)
+
+const upstreamPrefix = "upstream "
+
+var (
+	namePattern = regexp.MustCompile(`^[a-z0-9]([a-z0-9-]{0,61}[a-z0-9])?$`)
+	hostPattern = regexp.MustCompile(`^[a-z0-9]([a-z0-9.-]{0,251}[a-z0-9])?$`)
+	pathPattern = regexp.MustCompile(`^/[A-Za-z0-9._~/-]{0,200}$`)
+)
+
+const (
+	nameShape = "lower-case letters, digits and hyphens, at most 63"
+	hostShape = "a lower-case host name without port"
+	pathShape = "a path of letters, digits and ._~/-"
+)
+
+// Parse reads one service file. The service is usable only when no problem is returned.
+func Parse(file string, data []byte) (Service, inifile.Problems) {
+	f := inifile.Parse(file, data)
+	var s Service
+	if len(f.Sections()) > 0 {
+		parseService(f, &s)
+		parseSharing(f, &s)
+		parseChecks(f, &s)
+		parseUpstreams(f, &s)
+	}
+	return s, f.Problems()
+}
+
+func parseService(f *inifile.File, s *Service) {
+	section := f.Section("service", true)
+	s.Name = section.Match("name", namePattern, nameShape, "berth-desk")
+	s.Region = section.Match("region", namePattern, nameShape, "casa-north")
+	s.Address = section.AddrPort("address", "203.0.113.10:443")
+	s.Protocol = TCP
+	if section.Choice("protocol", "tcp", "tcp", "udp") == "udp" {
+		s.Protocol = UDP
+	}
+	if text := section.String("request_host", ""); text != "" {
+		s.RequestHost = section.Match("request_host", hostPattern, hostShape, "berth-desk.amarres.example")
+	}
+}
+
+func parseSharing(f *inifile.File, s *Service) {
+	section := f.Section("sharing", false)
+	s.Prefer = Preference(section.Choice("prefer", string(PreferFlows), string(PreferFlows), string(PreferBalance)))
+	threshold := defaultFlowsThreshold
+	if s.Prefer == PreferBalance {
+		threshold = defaultBalanceThreshold
+	}
+	s.DeviationThreshold = section.Float("deviation_threshold", threshold, 0, maxThreshold)
+	s.DrainLimit = section.Duration("drain_limit", defaultDrainLimit, minDrainLimit, maxDrainLimit)
+	s.IdleTimeout = section.Duration("idle_timeout", defaultIdleTimeout, minIdleTimeout, maxIdleTimeout)
+	s.SlowStart = section.Duration("slow_start", defaultSlowStart, 0, maxSlowStart)
+}
+
+func parseChecks(f *inifile.File, s *Service) {
+	section := f.Section("checks", false)
+	s.HealthPath = parsePath(section, "health_path", "/health")
+	s.LoadPath = parsePath(section, "load_path", "/load")
+}
+
+func parsePath(section *inifile.Section, key, example string) string {
+	if section.String(key, "") == "" {
+		return ""
+	}
+	return section.Match(key, pathPattern, pathShape, example)
+}
+
+func parseUpstreams(f *inifile.File, s *Service) {
+	sections := f.SectionsWithPrefix(upstreamPrefix)
+	if len(sections) == 0 {
+		f.Report("upstream", "", "the service has no upstream", "add an [upstream NAME] section for each target")
+		return
+	}
+	if len(sections) > maxUpstreams {
+		f.Report("upstream", "", fmt.Sprintf("the service has %d upstreams", len(sections)),
+			fmt.Sprintf("write at most %d", maxUpstreams))
+		return
+	}
+	seen := make(map[netip.AddrPort]string)
+	for _, section := range sections {
+		u := parseUpstream(section)
+		if first, ok := seen[u.Address]; ok && u.Address.IsValid() {
+			section.Report("address", fmt.Sprintf("%s is also the address of upstream %s", u.Address, first),
+				"give each upstream its own IP:port")
+		}
+		seen[u.Address] = u.Name
+		s.Upstreams = append(s.Upstreams, u)
+	}
+	sort.Slice(s.Upstreams, func(i, j int) bool { return s.Upstreams[i].Name < s.Upstreams[j].Name })
+}
+
+func parseUpstream(section *inifile.Section) Upstream {
+	u := Upstream{Name: strings.TrimSpace(strings.TrimPrefix(section.Name(), upstreamPrefix))}
+	if !namePattern.MatchString(u.Name) {
+		section.Report("", "the upstream's name is not valid", "write "+nameShape+", such as [upstream bd-01]")
+	}
+	u.DataCentre = section.Match("data_centre", namePattern, nameShape, "tanger-quay")
+	u.Address = section.AddrPort("address", "10.20.1.11:8443")
+	port := section.Uint("packet_port", genevePort, 1, 65535)
+	if u.Address.IsValid() {
+		u.PacketAddress = netip.AddrPortFrom(u.Address.Addr(), uint16(port))
+	}
+	u.Weight = section.Uint("weight", 1, 1, maxWeight)
+	u.Slots = section.Uint("slots", defaultSlots, 1, maxSlots)
+	u.Connections = section.Uint("connections", defaultConnections, 1, maxConnections)
+	u.State = AdminState(section.Choice("state", string(AdminActive), string(AdminActive), string(AdminDraining)))
+	return u
+}
