--- a/cmd/oatlatchd/main.go
+++ b/cmd/oatlatchd/main.go
@@ -1,20 +1,31 @@
+// Command oatlatchd is the daemon of an entry host.
 package main
 
 import (
-	"net"
 	"os"
 
 	"github.com/alecthomas/kong"
+
+	"github.com/oatlatch/oatlatch/internal/settings"
 )
 
-type flags struct {
-	Version bool
+// commands are the daemon's command line.
+type commands struct {
+	Run      runCommand      `cmd:"" default:"withargs" help:"Serve as an entry host (the default)."`
+	Settings settingsCommand `cmd:"" help:"Print the default settings with comments."`
 }
 
 func main() {
-	var f flags
-	kong.Parse(&f)
-	if _, err := net.LookupPort("tcp", "http"); err != nil {
-		os.Exit(1)
+	parser, err := kong.New(&commands{},
+		kong.Name("oatlatchd"),
+		kong.Description("Entry host of a layer-4 load balancer. Every setting is a key of the INI file and a flag."),
+		kong.Configuration(settings.Load),
+		kong.UsageOnError(),
+	)
+	if err != nil {
+		panic(err)
 	}
+	ctx, err := parser.Parse(os.Args[1:])
+	parser.FatalIfErrorf(err)
+	ctx.FatalIfErrorf(ctx.Run())
 }
--- /dev/null
+++ b/internal/logging/logging.go
@@ -0,0 +1,42 @@
+// Package logging writes one line of key=value pairs for each event.
+package logging
+
+import (
+	"fmt"
+	"io"
+	"strings"
+	"time"
+
+	"github.com/rs/zerolog"
+)
+
+// New returns a logger that writes events of the level and above to w.
+// The level is one of debug, info, warn and error.
+func New(w io.Writer, level string) (zerolog.Logger, error) {
+	parsed, err := zerolog.ParseLevel(level)
+	if err != nil || parsed < zerolog.DebugLevel || parsed > zerolog.ErrorLevel {
+		return zerolog.Nop(), fmt.Errorf("log level %q is not known, write debug, info, warn or error", level)
+	}
+	console := zerolog.ConsoleWriter{
+		Out:             w,
+		NoColor:         true,
+		FormatTimestamp: func(v any) string { return "time=" + fmt.Sprint(v) },
+		FormatLevel:     func(v any) string { return "level=" + fmt.Sprint(v) },
+		FormatMessage:   func(v any) string { return "msg=" + quoteMessage(v) },
+	}
+	return zerolog.New(console).Level(parsed).With().Timestamp().Logger(), nil
+}
+
+// quoteMessage keeps an event on one line whatever its message holds.
+func quoteMessage(v any) string {
+	text, _ := v.(string)
+	if text != "" && !strings.ContainsAny(text, " \t\r\n\"=\\") {
+		return text
+	}
+	return fmt.Sprintf("%q", text)
+}
+
+func init() {
+	// zerolog keeps the time format in a package variable only.
+	zerolog.TimeFieldFormat = time.RFC3339Nano
+}
--- /dev/null
+++ b/internal/logging/logging_test.go
@@ -0,0 +1,34 @@
+package logging_test
+
+import (
+	"bytes"
+	"strings"
+	"testing"
+
+	"github.com/oatlatch/oatlatch/internal/logging"
+)
+
+func TestOneLineOfKeyValuePairs(t *testing.T) {
+	var out bytes.Buffer
+	logger, err := logging.New(&out, "info")
+	if err != nil {
+		t.Fatal(err)
+	}
+	logger.Debug().Msg("hidden")
+	logger.Info().Str("service", "berth desk\nx").Int("version", 7).Msg("configuration adopted")
+	line := out.String()
+	if strings.Count(line, "\n") != 1 {
+		t.Fatalf("want one line, got %q", line)
+	}
+	for _, pair := range []string{"time=", "level=info", `msg="configuration adopted"`, `service="berth desk\nx"`, "version=7"} {
+		if !strings.Contains(line, pair) {
+			t.Errorf("no %s in %q", pair, line)
+		}
+	}
+}
+
+func TestUnknownLevel(t *testing.T) {
+	if _, err := logging.New(&bytes.Buffer{}, "loud"); err == nil {
+		t.Fatal("want an error")
+	}
+}
--- /dev/null
+++ b/internal/settings/check.go
@@ -0,0 +1,100 @@
+package settings
+
+import (
+	"fmt"
+	"net/netip"
+	"regexp"
+	"time"
+
+	"github.com/oatlatch/oatlatch/internal/inifile"
+)
+
+// Bounds of settings.
+const (
+	maxWorkers        = 256
+	minFlows          = 1024
+	maxFlows          = 16_000_000
+	maxBodyBytes      = 64 << 20
+	minHeaderBytes    = 1024
+	maxHeaderBytes    = 1 << 20
+	maxQueue          = 1_000_000
+	maxDuration       = 24 * time.Hour
+	maxCallsPerSecond = 1000.0
+)
+
+var namePattern = regexp.MustCompile(`^[a-z0-9]([a-z0-9./-]{0,61}[a-z0-9])?$`)
+
+// checker collects the problems of settings.
+type checker struct {
+	problems inifile.Problems
+}
+
+// Check reports every setting that cannot be used, each with its remedy.
+func (s *Settings) Check() error {
+	c := &checker{}
+	c.name("id", s.Host.ID)
+	c.name("data_centre", s.Host.DataCentre)
+	c.name("region", s.Host.Region)
+	c.address("peer", s.Listen.Peer)
+	c.address("packet", s.Listen.Packet)
+	c.address("request", s.Listen.Request)
+	c.address("admin", s.Listen.Admin)
+	c.tls(s)
+	c.within("flows", int64(s.Limits.Flows), minFlows, maxFlows)
+	c.within("workers", int64(s.Limits.Workers), 1, maxWorkers)
+	c.within("request_body", s.Limits.RequestBody, 0, maxBodyBytes)
+	c.within("request_header", int64(s.Limits.RequestHeader), minHeaderBytes, maxHeaderBytes)
+	c.within("queue", int64(s.Limits.Queue), 0, maxQueue)
+	c.duration("limits", "deadline", s.Limits.Deadline)
+	c.duration("platform", "deadline", s.Platform.Deadline)
+	c.duration("stop", "time_limit", s.Stop.TimeLimit)
+	if !(s.Platform.CallsPerSecond > 0 && s.Platform.CallsPerSecond <= maxCallsPerSecond) {
+		c.report("platform", "calls_per_second", fmt.Sprintf("%g is out of range", s.Platform.CallsPerSecond),
+			fmt.Sprintf("write a number above 0 and at most %g", maxCallsPerSecond))
+	}
+	return c.problems.Err()
+}
+
+func (c *checker) report(section, key, what, remedy string) {
+	c.problems = append(c.problems, inifile.Problem{File: "settings", Section: section, Key: key, What: what, Remedy: remedy})
+}
+
+func (c *checker) name(key, value string) {
+	if !namePattern.MatchString(value) {
+		c.report("host", key, fmt.Sprintf("%q is not a valid name", value), "write lower-case letters, digits, hyphens, dots and slashes")
+	}
+}
+
+func (c *checker) address(key string, address netip.AddrPort) {
+	if !address.IsValid() || address.Addr().IsUnspecified() {
+		c.report("listen", key, fmt.Sprintf("%s cannot be told to peers", address), "write the IP:port that others reach, such as 10.20.1.1:7401")
+	}
+}
+
+func (c *checker) tls(s *Settings) {
+	given := 0
+	for _, pem := range []string{s.TLS.CA, s.TLS.Certificate, s.TLS.Key} {
+		if pem != "" {
+			given++
+		}
+	}
+	switch {
+	case given == 3:
+	case given != 0:
+		c.report("tls", "", "only some of ca, certificate and key are given", "give all three, or none on loopback")
+	case !s.Listen.Peer.Addr().IsLoopback():
+		c.report("tls", "", "plain peer connections are taken on loopback only", "give ca, certificate and key")
+	}
+}
+
+func (c *checker) within(key string, value, low, high int64) {
+	if value < low || value > high {
+		c.report("limits", key, fmt.Sprintf("%d is out of range", value), fmt.Sprintf("write a whole number from %d to %d", low, high))
+	}
+}
+
+func (c *checker) duration(section, key string, value time.Duration) {
+	if value <= 0 || value > maxDuration {
+		c.report(section, key, fmt.Sprintf("%s is out of range", value), "write a duration above 0 and at most 24h")
+	}
+}
--- /dev/null
+++ b/internal/settings/settings.go
@@ -0,0 +1,79 @@
+// Package settings holds the settings of an entry host: an INI file whose
+// every key is also a flag.
+package settings
+
+import (
+	"net/netip"
+	"time"
+
+	"github.com/alecthomas/kong"
+)
+
+// Settings are the settings of oatlatchd. A key `k` of section `[s]` is the flag `--s-k`.
+type Settings struct {
+	File kong.ConfigFlag `name:"settings" placeholder:"FILE" help:"INI file to read settings from."`
+
+	Host     Host     `embed:"" prefix:"host-"`
+	Listen   Listen   `embed:"" prefix:"listen-"`
+	Peers    Peers    `embed:"" prefix:"peers-"`
+	Platform Platform `embed:"" prefix:"platform-"`
+	TLS      TLS      `embed:"" prefix:"tls-"`
+	Limits   Limits   `embed:"" prefix:"limits-"`
+	Stop     Stop     `embed:"" prefix:"stop-"`
+	Log      Log      `embed:"" prefix:"log-"`
+}
+
+// Host names the entry host.
+type Host struct {
+	ID         string `name:"id" placeholder:"NAME" help:"Unique name of this host, such as casa-quay-1."`
+	DataCentre string `name:"data-centre" placeholder:"NAME" help:"Data centre the host stands in."`
+	Region     string `name:"region" placeholder:"NAME" help:"Region of the data centre."`
+}
+
+// Listen holds the addresses that the host binds and, but for admin, tells its peers.
+type Listen struct {
+	Peer    netip.AddrPort `name:"peer" default:"127.0.0.1:7401" help:"IP:port for calls of other entry hosts (TCP)."`
+	Packet  netip.AddrPort `name:"packet" default:"127.0.0.1:6081" help:"IP:port for packets of the fabric and of other entry hosts (UDP, Geneve)."`
+	Request netip.AddrPort `name:"request" default:"127.0.0.1:8080" help:"IP:port for requests of callers (TCP, HTTP)."`
+	Admin   netip.AddrPort `name:"admin" default:"127.0.0.1:7402" help:"IP:port for read-only status and metrics (TCP, HTTP)."`
+}
+
+// Peers holds where to find other entry hosts.
+type Peers struct {
+	Seeds []netip.AddrPort `name:"seeds" placeholder:"IP:PORT,..." help:"Peer addresses of some other entry hosts, comma-separated; empty for the first host."`
+}
+
+// Platform holds how to reach the platform's key-value service.
+type Platform struct {
+	Addresses      []string      `name:"addresses" default:"http://127.0.0.1:8500" help:"Base URLs of the platform's key-value service, comma-separated."`
+	Token          string        `name:"token" placeholder:"TOKEN" help:"Access token sent with each call to the platform; empty for none."`
+	Deadline       time.Duration `name:"deadline" default:"2s" help:"Time limit of one call to the platform, watches apart."`
+	CallsPerSecond float64       `name:"calls-per-second" default:"5" help:"Most calls a second that this host makes to the platform."`
+}
+
+// TLS holds the host's keys. All three empty means plain connections, which are taken on loopback only.
+type TLS struct {
+	CA          string `name:"ca" placeholder:"PEM" help:"Certificate authority of all entry hosts: PEM text or path."`
+	Certificate string `name:"certificate" placeholder:"PEM" help:"Certificate of this host: PEM text or path; its identity is host ID and data centre."`
+	Key         string `name:"key" placeholder:"PEM" help:"Private key of the certificate: PEM text or path."`
+}
+
+// Limits bound what the host holds.
+type Limits struct {
+	Flows         int           `name:"flows" default:"500000" help:"Most flow records held."`
+	Workers       int           `name:"workers" default:"2" help:"Goroutines that forward packets."`
+	RequestBody   int64         `name:"request-body" default:"1048576" help:"Largest request body in bytes."`
+	RequestHeader int           `name:"request-header" default:"16384" help:"Largest request header in bytes."`
+	Queue         int           `name:"queue" default:"64" help:"Most requests that wait for a slot, for each service."`
+	Deadline      time.Duration `name:"deadline" default:"30s" help:"Deadline of a request that states none."`
+}
+
+// Stop holds how the host stops.
+type Stop struct {
+	TimeLimit time.Duration `name:"time-limit" default:"60s" help:"Longest planned stop; work still in progress after it is cut and logged."`
+}
+
+// Log holds what is logged.
+type Log struct {
+	Level string `name:"level" default:"info" help:"Least level logged: debug, info, warn or error."`
+}
