Add the stored configuration and publishing

Cause: operators need to publish service files so that racing publications merge or conflict and a lost answer is resolved truthfully. Measured: go test -race ./internal/publisher passes: a repeat makes 0 writes, a lost answer and a dropped write of the head both end at version 1.

--- a/internal/config/manifest.go
+++ b/internal/config/manifest.go
@@ -3,6 +3,7 @@
 package config
 
 import (
+	"fmt"
 	"net/netip"
 	"time"
 
@@ -39,12 +40,18 @@
 	Hash string
 	// Changed is the manifest version that last changed the entry.
 	Changed Version
+	// Publication is the ID of the publication that last changed the entry.
+	Publication string
 }
 
-// Quarantine is an address that a service has released.
+// Quarantine is an address or request host that a service has released.
 type Quarantine struct {
+	// Service is the service that released it and may take it back at any time.
+	Service  service.ID
 	Address  netip.AddrPort
 	Protocol service.Protocol
+	// RequestHost is set instead of Address when the service released a request host.
+	RequestHost string `json:",omitempty"`
 	// Released is the manifest version that released the address.
 	Released Version
 	// ReleasedAt is the publisher's wall clock.
@@ -61,3 +68,31 @@
 	// Services are the names of the services that the publication changed.
 	Services []string
 }
+
+// String names the publication and its operator for messages.
+func (p Publication) String() string {
+	if p.Operator == "" {
+		return p.ID
+	}
+	return fmt.Sprintf("%s (version %d by %s at %s)", p.ID, p.Version, p.Operator, p.At.UTC().Format(time.RFC3339))
+}
+
+// Publication returns the publication with the ID if it is still remembered.
+func (m *Manifest) Publication(id string) (Publication, bool) {
+	for _, p := range m.Publications {
+		if p.ID == id {
+			return p, true
+		}
+	}
+	return Publication{}, false
+}
+
+// Entry returns the entry with the name.
+func (m *Manifest) Entry(name string) (Entry, bool) {
+	for _, entry := range m.Services {
+		if entry.Name == name {
+			return entry, true
+		}
+	}
+	return Entry{}, false
+}
--- /dev/null
+++ b/internal/config/services.go
@@ -0,0 +1,41 @@
+package config
+
+import (
+	"fmt"
+	"net/netip"
+
+	"github.com/oatlatch/oatlatch/internal/service"
+)
+
+// endpoint is an address together with the protocol that it serves.
+type endpoint struct {
+	address  netip.AddrPort
+	protocol service.Protocol
+}
+
+// CheckServices returns a *DuplicateError if two services share a name, an
+// address or a request host.
+func CheckServices(services []service.Service) error {
+	names := make(map[string]bool, len(services))
+	addresses := make(map[endpoint]string, len(services))
+	requestHosts := make(map[string]string, len(services))
+	for _, svc := range services {
+		if names[svc.Name] {
+			return &DuplicateError{What: "name", Value: fmt.Sprintf("%q", svc.Name), First: svc.Name, Second: svc.Name}
+		}
+		names[svc.Name] = true
+		at := endpoint{svc.Address, svc.Protocol}
+		if first, taken := addresses[at]; taken {
+			return &DuplicateError{What: "address", Value: svc.Address.String(), First: first, Second: svc.Name}
+		}
+		addresses[at] = svc.Name
+		if svc.RequestHost == "" {
+			continue
+		}
+		if first, taken := requestHosts[svc.RequestHost]; taken {
+			return &DuplicateError{What: "request host", Value: svc.RequestHost, First: first, Second: svc.Name}
+		}
+		requestHosts[svc.RequestHost] = svc.Name
+	}
+	return nil
+}
--- a/internal/config/snapshot.go
+++ b/internal/config/snapshot.go
@@ -17,3 +17,16 @@
 	}
 	return s.Manifest.Version
 }
+
+// Records returns the services with what the manifest says of their last change.
+func (s *Snapshot) Records() []Record {
+	if s == nil {
+		return nil
+	}
+	records := make([]Record, 0, len(s.Services))
+	for i, svc := range s.Services {
+		entry := s.Manifest.Services[i]
+		records = append(records, Record{Changed: entry.Changed, Publication: entry.Publication, Service: svc})
+	}
+	return records
+}
--- /dev/null
+++ b/internal/publisher/publisher_test.go
@@ -0,0 +1,88 @@
+package publisher_test
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/oatlatch/oatlatch/internal/platform/fake"
+	"github.com/oatlatch/oatlatch/internal/publish"
+	"github.com/oatlatch/oatlatch/internal/publisher"
+	"github.com/oatlatch/oatlatch/internal/service"
+)
+
+func svc(name string, number int) service.Service {
+	return service.Service{
+		Name:     name,
+		Region:   "nz-north",
+		Address:  netip.AddrPortFrom(netip.AddrFrom4([4]byte{198, 51, byte(number >> 8), byte(number)}), 443),
+		Protocol: service.TCP,
+		Upstreams: []service.Upstream{{
+			Name: "one", DataCentre: "akl-a", Address: netip.MustParseAddrPort("192.0.2.1:80"),
+			PacketAddress: netip.MustParseAddrPort("192.0.2.1:6081"), Weight: 1, Slots: 2, Connections: 2000,
+		}},
+	}
+}
+
+func options(seed uint64) publisher.Options {
+	var key [32]byte
+	key[0], key[1] = byte(seed), byte(seed>>8)
+	return publisher.Options{
+		Operator: fmt.Sprintf("operator-%d", seed), Random: rand.NewChaCha8(key), Seed: seed,
+		Now: func() time.Time { return time.Unix(1_800_000_000, 0) },
+	}
+}
+
+func TestRepeatWritesNothing(t *testing.T) {
+	port := fake.NewPort(fake.NewStore())
+	ctx := context.Background()
+	first, err := publisher.Publish(ctx, port, options(1), []service.Service{svc("a", 1), svc("b", 2)})
+	if err != nil || first.Version != 1 || len(first.Changed) != 2 {
+		t.Fatalf("%+v %v", first, err)
+	}
+	before := port.Calls()
+	again, err := publisher.Publish(ctx, port, options(2), []service.Service{svc("b", 2)})
+	if err != nil || !again.Unchanged || again.Version != 1 {
+		t.Fatalf("%+v %v", again, err)
+	}
+	if writes := port.Calls().Sub(before).Writes; writes != 0 {
+		t.Fatalf("a repeat wrote %d times", writes)
+	}
+}
+
+func TestLostAnswerOfTheHeadIsResolved(t *testing.T) {
+	for _, faults := range []fake.Faults{{LoseAnswers: 2}, {DropWrites: 2}} {
+		port := fake.NewPort(fake.NewStore())
+		port.SetFaults(faults)
+		result, err := publisher.Publish(context.Background(), port, options(3), []service.Service{svc("a", 1)})
+		if err != nil || result.Version != 1 {
+			t.Fatalf("%+v: %+v %v", faults, result, err)
+		}
+	}
+}
+
+func TestOutageIsReportedAsNotPublished(t *testing.T) {
+	port := fake.NewPort(fake.NewStore())
+	port.SetFaults(fake.Faults{Down: true})
+	ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
+	defer cancel()
+	_, err := publisher.Publish(ctx, port, options(4), []service.Service{svc("a", 1)})
+	var notPublished *publish.NotPublishedError
+	if !errors.As(err, &notPublished) {
+		t.Fatalf("want NotPublishedError, got %v", err)
+	}
+}
+
+func TestNoRandomnessNoPublication(t *testing.T) {
+	port := fake.NewPort(fake.NewStore())
+	o := options(5)
+	o.Random = bytes.NewReader(nil)
+	if _, err := publisher.Publish(context.Background(), port, o, []service.Service{svc("a", 1)}); err == nil {
+		t.Fatal("published without randomness")
+	}
+}
