--- /dev/null
+++ b/internal/dispatch/handover.go
@@ -0,0 +1,144 @@
+package dispatch
+
+import (
+	"context"
+	"fmt"
+
+	"github.com/oatlatch/oatlatch/internal/host"
+	"github.com/oatlatch/oatlatch/internal/ticket"
+)
+
+// AcceptArgs is one part of a sealed ledger.
+type AcceptArgs struct {
+	// Part counts from zero.
+	Part int
+	Last bool
+	// Transfer holds the ledger without records in part zero, and only records later.
+	Transfer ticket.Transfer
+}
+
+// AcceptReply is empty: the absence of an error says that the part was taken.
+type AcceptReply struct{}
+
+// maxPartBytes bounds the answers in one part of a handover.
+const maxPartBytes = 256 << 10
+
+// Summary says what a drain handed to whom.
+type Summary struct {
+	Ledgers []LedgerSummary
+}
+
+// LedgerSummary is one ledger of a drain.
+type LedgerSummary struct {
+	Incarnation host.Incarnation
+	Successor   host.ID
+	Records     int
+}
+
+// String returns the summary for a log line.
+func (s Summary) String() string {
+	text := fmt.Sprintf("ledgers=%d", len(s.Ledgers))
+	for _, l := range s.Ledgers {
+		text += fmt.Sprintf(" %x:%d->%s", uint64(l.Incarnation), l.Records, l.Successor)
+	}
+	return text
+}
+
+// Drain lets nothing new run under the tickets held here, waits for the
+// non-idempotent requests in progress and hands each ledger to a successor. The
+// HTTP server must go on until Drain returns, and is shut down gracefully then.
+func (d *Dispatcher) Drain(ctx context.Context) (Summary, error) {
+	d.mu.Lock()
+	d.draining = true
+	d.mu.Unlock()
+	var summary Summary
+	for _, b := range d.allBooks() {
+		ledger, err := d.handOver(ctx, b)
+		if err != nil {
+			return summary, err
+		}
+		summary.Ledgers = append(summary.Ledgers, ledger)
+	}
+	d.options.Logger.Info().Str("handover", summary.String()).Msg("requests drained")
+	return summary, nil
+}
+
+func (d *Dispatcher) handOver(ctx context.Context, b *book) (LedgerSummary, error) {
+	select {
+	case <-b.close():
+	case <-ctx.Done():
+		return LedgerSummary{}, fmt.Errorf("dispatch: requests still run: allow more time for the drain: %w", ctx.Err())
+	}
+	transfer := b.seal()
+	ledger := LedgerSummary{Incarnation: transfer.Incarnation, Records: len(transfer.Records)}
+	var err error
+	for _, successor := range d.successors(transfer.Incarnation) {
+		if err = d.send(ctx, successor, transfer); err == nil {
+			ledger.Successor = successor
+			b.move(successor)
+			return ledger, nil
+		}
+		transfer.Exclusive = false
+	}
+	b.move("")
+	if err != nil {
+		return ledger, fmt.Errorf("dispatch: no successor took the ledger, its tickets are void: check the peers: %w", err)
+	}
+	return ledger, nil
+}
+
+// send hands the transfer to a successor in parts.
+func (d *Dispatcher) send(ctx context.Context, to host.ID, transfer ticket.Transfer) error {
+	records := transfer.Records
+	transfer.Records = nil
+	args := AcceptArgs{Transfer: transfer}
+	for {
+		args.Transfer.Records, records = splitRecords(records)
+		args.Last = len(records) == 0
+		if err := d.options.Peers.Call(ctx, to, "Request.Accept", &args, &AcceptReply{}); err != nil {
+			return err
+		}
+		if args.Last {
+			return nil
+		}
+		args.Part++
+		args.Transfer.Window = ticket.Window{}
+	}
+}
+
+func splitRecords(records []ticket.Record) (part, rest []ticket.Record) {
+	size := 0
+	for i, r := range records {
+		size += r.Size()
+		if size > maxPartBytes && i > 0 {
+			return records[:i], records[i:]
+		}
+	}
+	return records, nil
+}
+
+// accept takes over a part of a ledger. Repeated parts change nothing.
+func (d *Dispatcher) accept(args *AcceptArgs) error {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	id := args.Transfer.Incarnation
+	if d.draining {
+		return fmt.Errorf("dispatch: %s is draining: hand the ledger to another host", d.options.Self.ID)
+	}
+	if d.books[id] != nil {
+		return nil
+	}
+	if args.Part == 0 {
+		d.incoming[id] = &ticket.Transfer{}
+		*d.incoming[id] = args.Transfer
+	} else if incoming := d.incoming[id]; incoming == nil {
+		return fmt.Errorf("dispatch: part %d came before part 0: send the ledger again", args.Part)
+	} else {
+		incoming.Records = append(incoming.Records, args.Transfer.Records...)
+	}
+	if args.Last {
+		d.books[id] = newBook(ticket.Adopt(d.ledgerBounds(), *d.incoming[id]))
+		delete(d.incoming, id)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/dispatch/lane.go
@@ -0,0 +1,121 @@
+package dispatch
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/oatlatch/oatlatch/internal/admission"
+	"github.com/oatlatch/oatlatch/internal/limit"
+)
+
+// initialEstimate is the service time assumed before the first measurement.
+const initialEstimate = 5 * time.Millisecond
+
+// lane gives the slots of one service to requests. It wraps the scheduler with
+// a lock and wakes the goroutines whose requests were decided.
+type lane struct {
+	now func() time.Time
+
+	mu        sync.Mutex
+	scheduler *admission.Scheduler
+	budget    *limit.Budget
+	waiters   map[uint64]chan admission.Decision
+	nextID    uint64
+}
+
+func newLane(now func() time.Time, seed uint64, limits Limits) *lane {
+	return &lane{
+		now: now,
+		scheduler: admission.NewScheduler(admission.Options{
+			Rand:            rand.New(rand.NewPCG(seed, 0)),
+			QueueLimit:      limits.QueueLimit,
+			InitialEstimate: initialEstimate,
+		}),
+		budget:  limit.NewBudget(limits.RetryRatio),
+		waiters: make(map[uint64]chan admission.Decision),
+	}
+}
+
+// acquire waits for a slot and returns its upstream, or why there is none.
+func (l *lane) acquire(ctx context.Context, deadline time.Time, exclude []string) (string, admission.Reason) {
+	decision, wait := l.submit(deadline, exclude)
+	if decision.Kind == admission.Queued {
+		decision = l.await(ctx, decision, wait)
+	}
+	return decision.Upstream, decision.Reason
+}
+
+func (l *lane) submit(deadline time.Time, exclude []string) (admission.Decision, chan admission.Decision) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.nextID++
+	request := admission.Request{ID: l.nextID, Deadline: deadline, Exclude: exclude}
+	decision := l.scheduler.Submit(l.now(), request)
+	if decision.Kind != admission.Queued {
+		return decision, nil
+	}
+	wait := make(chan admission.Decision, 1)
+	l.waiters[decision.ID] = wait
+	return decision, wait
+}
+
+// await waits until a queued request is decided, gives up or is cancelled.
+func (l *lane) await(ctx context.Context, queued admission.Decision, wait chan admission.Decision) admission.Decision {
+	timer := time.NewTimer(queued.GiveUp.Sub(l.now()))
+	defer timer.Stop()
+	select {
+	case decision := <-wait:
+		return decision
+	case <-timer.C:
+		return l.withdraw(queued.ID, wait, admission.ReasonDeadlineInQueue)
+	case <-ctx.Done():
+		return l.withdraw(queued.ID, wait, admission.ReasonCancelled)
+	}
+}
+
+// withdraw removes a request from the queue unless it was decided meanwhile; a
+// slot granted too late is used, or released by the caller.
+func (l *lane) withdraw(id uint64, wait chan admission.Decision, reason admission.Reason) admission.Decision {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if !l.scheduler.Cancel(id) {
+		return <-wait
+	}
+	delete(l.waiters, id)
+	return admission.Decision{ID: id, Kind: admission.Refused, Reason: reason}
+}
+
+// release returns a slot; busy is zero when the upstream did not run the request.
+func (l *lane) release(upstream string, busy time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.wake(l.scheduler.Release(l.now(), upstream, busy))
+}
+
+func (l *lane) update(targets []admission.Target) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.wake(l.scheduler.Update(l.now(), targets))
+}
+
+func (l *lane) fresh() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.budget.Fresh()
+}
+
+func (l *lane) takeRetry() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.budget.Take()
+}
+
+// wake hands decisions to the waiting requests. The channels have room for one.
+func (l *lane) wake(decisions []admission.Decision) {
+	for _, decision := range decisions {
+		l.waiters[decision.ID] <- decision
+		delete(l.waiters, decision.ID)
+	}
+}
--- /dev/null
+++ b/internal/dispatch/route.go
@@ -0,0 +1,104 @@
+package dispatch
+
+import (
+	"hash/fnv"
+	"net/netip"
+
+	"github.com/oatlatch/oatlatch/internal/admission"
+	"github.com/oatlatch/oatlatch/internal/health"
+	"github.com/oatlatch/oatlatch/internal/host"
+	"github.com/oatlatch/oatlatch/internal/limit"
+	"github.com/oatlatch/oatlatch/internal/membership"
+	"github.com/oatlatch/oatlatch/internal/service"
+)
+
+// route is one service as requests see it; it is immutable but for its lane.
+type route struct {
+	service   service.Service
+	addresses map[string]netip.AddrPort
+	lane      *lane
+}
+
+func newRoute(s service.Service, l *lane) *route {
+	addresses := make(map[string]netip.AddrPort, len(s.Upstreams))
+	for _, u := range s.Upstreams {
+		addresses[u.Name] = u.Address
+	}
+	return &route{service: s, addresses: addresses, lane: l}
+}
+
+// upstreamKey names an upstream in a health view.
+type upstreamKey struct {
+	service service.ID
+	name    string
+}
+
+// targets returns the upstreams that may take new requests, with this host's slots.
+func (r *route) targets(self host.ID, hosts limit.Hosts, states map[upstreamKey]health.Upstream) []admission.Target {
+	demands := make([]limit.Demand, len(r.service.Upstreams))
+	for i, u := range r.service.Upstreams {
+		demands[i] = limit.Demand{Upstream: u.Name, Slots: int(u.Slots)}
+	}
+	shares := limit.Shares(self, hosts, offsetOf(r.service.Name), demands)
+	distrust := r.distrustHealth(states)
+	var targets []admission.Target
+	for i, u := range r.service.Upstreams {
+		state, known := states[upstreamKey{r.service.ID, u.Name}]
+		if u.State != service.AdminActive || shares[i] == 0 || (known && !takesWork(state.State, distrust)) {
+			continue
+		}
+		targets = append(targets, target(u.Name, shares[i], state))
+	}
+	return targets
+}
+
+// distrustHealth says whether more than half of the active upstreams look bad
+// at once, which points at the signal rather than at the upstreams.
+func (r *route) distrustHealth(states map[upstreamKey]health.Upstream) bool {
+	active, good := 0, 0
+	for _, u := range r.service.Upstreams {
+		if u.State != service.AdminActive {
+			continue
+		}
+		active++
+		state, known := states[upstreamKey{r.service.ID, u.Name}]
+		if !known || takesWork(state.State, false) {
+			good++
+		}
+	}
+	return good*2 < active
+}
+
+func takesWork(state health.State, distrust bool) bool {
+	return state == health.Up || state == health.Joining || (distrust && state == health.Suspect)
+}
+
+func target(name string, share int, state health.Upstream) admission.Target {
+	if state.State != health.Joining {
+		return admission.Target{Name: name, Slots: share, Ramp: 1}
+	}
+	ramp := min(1, max(limit.RampFloor, state.Ramp))
+	return admission.Target{Name: name, Slots: limit.RampSlots(share, ramp), Ramp: ramp}
+}
+
+// sharing returns the hosts that divide the slots, as the view shows them.
+func sharing(self host.ID, view membership.View) limit.Hosts {
+	hosts := limit.Hosts{Known: []host.ID{self}, Active: []host.ID{self}}
+	for _, member := range view.Members {
+		switch member.State {
+		case membership.Live, membership.Suspect:
+			hosts.Active = append(hosts.Active, member.Host.ID)
+			hosts.Known = append(hosts.Known, member.Host.ID)
+		case membership.Dead:
+			hosts.Known = append(hosts.Known, member.Host.ID)
+		}
+	}
+	return hosts
+}
+
+// offsetOf spreads the first slots of services over hosts.
+func offsetOf(name string) int {
+	h := fnv.New32a()
+	h.Write([]byte(name))
+	return int(h.Sum32() >> 1)
+}
--- /dev/null
+++ b/internal/dispatch/server.go
@@ -0,0 +1,32 @@
+package dispatch
+
+import (
+	"net/http"
+	"time"
+)
+
+// Limits of caller connections.
+const (
+	readHeaderTimeout = 5 * time.Second
+	idleTimeout       = 90 * time.Second
+	// maxStreams bounds the requests in progress on one HTTP/2 connection.
+	maxStreams = 128
+)
+
+// NewServer returns an HTTP server for the handler that bounds what slow or
+// oversized callers can hold. It speaks HTTP/1.1 and unencrypted HTTP/2.
+func NewServer(handler http.Handler, limits Limits) *http.Server {
+	limits = limits.withDefaults()
+	protocols := new(http.Protocols)
+	protocols.SetHTTP1(true)
+	protocols.SetHTTP2(true)
+	protocols.SetUnencryptedHTTP2(true)
+	return &http.Server{
+		Handler:           handler,
+		ReadHeaderTimeout: readHeaderTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    limits.MaxHeaderBytes,
+		Protocols:         protocols,
+		HTTP2:             &http.HTTP2Config{MaxConcurrentStreams: maxStreams},
+	}
+}
