Test handover, dead issuers and partitions of requests

Cause: the thin request path had no test of a lost host. Change: tests of a graceful stop with a request in progress, of a killed and restarted issuer, and of a partition with lost replies.

--- a/internal/dispatch/cluster_test.go
+++ b/internal/dispatch/cluster_test.go
@@ -38,7 +38,6 @@
 
 	mu      sync.Mutex
 	nodes   map[host.ID]*node
-	view    membership.View
 	cuts    map[[2]host.ID]bool
 	lose    map[host.ID]bool
 	counter uint64
--- /dev/null
+++ b/internal/dispatch/holder_test.go
@@ -0,0 +1,85 @@
+package dispatch_test
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"github.com/oatlatch/oatlatch/internal/host"
+)
+
+func TestSuccessorRepeatsOutcomesAndRunsUnusedTicketsAfterAGracefulStop(t *testing.T) {
+	c := newCluster(t, clusterOptions{hosts: 3, upstreams: 2, slots: 3, work: 30 * time.Millisecond})
+	issuer, other := c.node("entry-0"), c.node("entry-1")
+	used, unused, slow := freshTicket(t, issuer), freshTicket(t, issuer), freshTicket(t, issuer)
+	_, first := post(t, issuer, used, "used")
+	done := make(chan string, 1)
+	go func() {
+		resp, _ := post(t, issuer, slow, "slow")
+		done <- outcomeOf(resp)
+	}()
+	g := gomega.NewWithT(t)
+	g.Eventually(func() int { return c.runs()["slow"] }).Should(gomega.Equal(1))
+	summary := c.stop("entry-0")
+	if len(summary.Ledgers) != 1 || summary.Ledgers[0].Successor == "" || summary.Ledgers[0].Records != 2 {
+		t.Fatalf("summary: %+v", summary)
+	}
+	if got := <-done; got != "answered/ok" {
+		t.Fatalf("request in progress at the stop: %s", got)
+	}
+	for _, n := range []*node{other, c.node("entry-2")} {
+		if resp, body := post(t, n, used, "used"); outcomeOf(resp) != "answered/ok" || string(body) != string(first) {
+			t.Fatalf("repeat at %s: %s %q", n.self, outcomeOf(resp), body)
+		}
+		if resp, _ := post(t, n, unused, "unused"); outcomeOf(resp) != "answered/ok" {
+			t.Fatalf("unused ticket at %s: %s", n.self, outcomeOf(resp))
+		}
+	}
+	for id, n := range c.runs() {
+		if n != 1 {
+			t.Errorf("%s ran %d times", id, n)
+		}
+	}
+}
+
+func TestTicketsOfADeadHostNeverRunAgain(t *testing.T) {
+	c := newCluster(t, clusterOptions{hosts: 3, upstreams: 2, slots: 3})
+	used, unused := freshTicket(t, c.node("entry-0")), freshTicket(t, c.node("entry-0"))
+	post(t, c.node("entry-0"), used, "used")
+	c.kill("entry-0")
+	c.start("entry-0")
+	for _, id := range []host.ID{"entry-0", "entry-1"} {
+		for _, ticket := range []string{used, unused} {
+			resp, _ := post(t, c.node(id), ticket, "used")
+			if outcomeOf(resp) != "unknown/ticket-void" || resp.StatusCode != http.StatusGone {
+				t.Errorf("%s: %s", id, outcomeOf(resp))
+			}
+		}
+	}
+	if got := c.runs()["used"]; got != 1 {
+		t.Errorf("ran %d times", got)
+	}
+}
+
+func TestPartitionedIssuerLeavesTheOutcomeUnknownAndTellsItAfterwards(t *testing.T) {
+	c := newCluster(t, clusterOptions{hosts: 2, upstreams: 1, slots: 3})
+	ticket := freshTicket(t, c.node("entry-0"))
+	c.cut("entry-0", "entry-1", true)
+	resp, _ := post(t, c.node("entry-1"), ticket, "c")
+	if outcomeOf(resp) != "unknown/issuer-unreachable" || resp.Header.Get("Retry-After") == "" {
+		t.Fatalf("during the partition: %s", outcomeOf(resp))
+	}
+	c.cut("entry-0", "entry-1", false)
+	c.loseReplies("entry-0", true)
+	resp, _ = post(t, c.node("entry-1"), ticket, "c")
+	if outcomeOf(resp) != "unknown/issuer-unreachable" {
+		t.Fatalf("with the reply lost: %s", outcomeOf(resp))
+	}
+	c.loseReplies("entry-0", false)
+	resp, _ = post(t, c.node("entry-1"), ticket, "c")
+	if outcomeOf(resp) != "answered/ok" || c.runs()["c"] != 1 {
+		t.Fatalf("afterwards: %s, runs %d", outcomeOf(resp), c.runs()["c"])
+	}
+}
