Add adoption of configurations from the platform and from peers

Cause: hosts must follow publications through outages and never revert. Change: config.Adopter, a sans-I/O machine that joins by the highest version of platform and peers, watches the platform with a few hosts of a data centre, spreads versions by notices and pulls over a peer set of constant size, and confirms released addresses; adopt.Runner drives it.

--- /dev/null
+++ b/internal/adopt/duties.go
@@ -0,0 +1,117 @@
+package adopt
+
+import (
+	"context"
+	"errors"
+	"fmt"
+
+	"github.com/oatlatch/oatlatch/internal/config"
+	"github.com/oatlatch/oatlatch/internal/host"
+)
+
+// report hands an event to the loop, waiting for room.
+func (r *Runner) report(ctx context.Context, event config.Event) {
+	select {
+	case <-ctx.Done():
+	case r.events <- event:
+	}
+}
+
+func (r *Runner) readPlatform(ctx context.Context, read config.ReadPlatform) {
+	value, err := r.options.Port.Watch(ctx, config.HeadKey, read.Index)
+	if err != nil {
+		r.report(ctx, config.PlatformFailed{Err: err})
+		return
+	}
+	r.report(ctx, config.PlatformRead{Head: value.Data, Index: value.Index})
+}
+
+// call makes one call to a peer within the deadline.
+func (r *Runner) call(ctx context.Context, to host.ID, method string, args, reply any) error {
+	ctx, cancel := context.WithTimeout(ctx, r.options.PeerDeadline)
+	defer cancel()
+	err := r.options.Peers.Call(ctx, to, method, args, reply)
+	r.metrics.called(method, err)
+	return err
+}
+
+func (r *Runner) pull(ctx context.Context, pull config.Pull) {
+	var reply PullReply
+	if err := r.call(ctx, pull.Peer, methodPull, PullArgs{Version: pull.Version}, &reply); err != nil {
+		r.report(ctx, config.PullFailed{Peer: pull.Peer, Err: err})
+		return
+	}
+	r.report(ctx, config.Pulled{
+		Peer: pull.Peer, Version: reply.Version, Head: reply.Head, ConfirmedAge: reply.ConfirmedAge,
+	})
+}
+
+func (r *Runner) notify(ctx context.Context, notify config.Notify) {
+	var reply NotifyReply
+	// A failure needs no answer: the peer finds the version with its next pull.
+	_ = r.call(ctx, notify.Peer, methodNotify, NotifyArgs{Version: notify.Version}, &reply)
+}
+
+func (r *Runner) fetch(ctx context.Context, fetch config.Fetch) {
+	pages, err := r.fetchPages(ctx, fetch)
+	if err != nil {
+		r.report(ctx, config.FetchFailed{Source: fetch.Source, Err: err})
+		return
+	}
+	r.report(ctx, config.Fetched{Source: fetch.Source, Pages: pages})
+}
+
+func (r *Runner) fetchPages(ctx context.Context, fetch config.Fetch) ([]config.PageData, error) {
+	if fetch.Source == config.Platform {
+		return r.fetchFromPlatform(ctx, fetch.Refs)
+	}
+	var reply FetchReply
+	err := r.call(ctx, fetch.Source.Peer, methodFetch, FetchArgs{Refs: fetch.Refs}, &reply)
+	return reply.Pages, err
+}
+
+func (r *Runner) fetchFromPlatform(ctx context.Context, refs []config.PageRef) ([]config.PageData, error) {
+	var pages []config.PageData
+	for _, ref := range refs {
+		value, err := r.options.Port.Get(ctx, ref.Key())
+		if err != nil {
+			return nil, err
+		}
+		if !value.Exists() {
+			return nil, fmt.Errorf("page %s is absent from the platform", ref.Key())
+		}
+		pages = append(pages, config.PageData{Ref: ref, Data: value.Data})
+	}
+	return pages, nil
+}
+
+// errConfirmRaced says that another process wrote this host's confirmation meanwhile.
+var errConfirmRaced = errors.New("the confirmation was written by another process of this host's name")
+
+func (r *Runner) confirm(ctx context.Context, confirm config.Confirm) {
+	if err := r.storeConfirmation(ctx, confirm.Version); err != nil {
+		r.logger.Warn().Str("event", "config_confirm_failed").Err(err).Send()
+		r.report(ctx, config.ConfirmFailed{Err: err})
+		return
+	}
+	r.report(ctx, config.Confirmed(confirm))
+}
+
+func (r *Runner) storeConfirmation(ctx context.Context, version config.Version) error {
+	key := config.AdoptedKey(r.options.Self.ID)
+	stored, err := r.options.Port.Get(ctx, key)
+	if err != nil {
+		return err
+	}
+	data, err := config.EncodeConfirmation(config.Confirmation{
+		Host: r.options.Self.ID, Incarnation: r.options.Self.Incarnation, Version: version, At: r.options.Now().UTC(),
+	})
+	if err != nil {
+		return err
+	}
+	written, err := r.options.Port.CompareAndSwap(ctx, key, data, stored.Revision)
+	if err == nil && !written {
+		return errConfirmRaced
+	}
+	return err
+}
--- /dev/null
+++ b/internal/adopt/log.go
@@ -0,0 +1,64 @@
+package adopt
+
+import (
+	"errors"
+	"time"
+
+	"github.com/oatlatch/oatlatch/internal/config"
+)
+
+var errQueueFull = errors.New("queue of this host is full")
+
+// missingInterval is the time between log lines about having no configuration.
+const missingInterval = 10 * time.Second
+
+// logMissing logs now and then why there is no configuration.
+func (r *Runner) logMissing(now time.Time, reason string) {
+	if reason == "" || now.Sub(r.reasonLogged) < missingInterval {
+		return
+	}
+	r.reasonLogged = now
+	r.logger.Warn().Str("event", "config_missing").Str("reason", reason).Send()
+}
+
+func (r *Runner) adopted(a config.Adopt) {
+	version := a.Bundle.Version()
+	r.metrics.version.Set(float64(version))
+	r.metrics.adoptedFrom(a.Source)
+	r.logger.Info().Str("event", "config_adopted").Uint64("version", uint64(version)).
+		Str("source", a.Source.String()).Int("services", len(a.Bundle.Snapshot.Services)).Send()
+	r.options.OnAdopt(a.Bundle.Snapshot)
+}
+
+func (r *Runner) refused(a config.Refuse) {
+	r.metrics.refused.WithLabelValues(string(a.Reason)).Inc()
+	r.logger.Error().Str("event", "config_refused").Str("reason", string(a.Reason)).
+		Str("source", a.Source.String()).Uint64("version", uint64(a.Version)).
+		Uint64("adopted", uint64(r.adopter.Bundle().Version())).AnErr("error", a.Err).
+		Str("remedy", remedies[a.Reason]).Send()
+}
+
+// remedies tell operators what to do about a refused configuration.
+var remedies = map[config.RefuseReason]string{
+	config.RefuseStale:    "check whether the platform was restored from a backup; if so publish again with --above set to the adopted version",
+	config.RefuseAbsent:   "check whether the platform lost its data; if so publish again with --above set to the adopted version",
+	config.RefuseDiverged: "two histories share this version; publish again with --above set to it",
+	config.RefuseInvalid:  "publish again from the service files",
+	config.RefuseFormat:   "run the program version that published",
+}
+
+// logWatch logs when reads of the platform begin to fail and when they work again.
+func (r *Runner) logWatch(event config.Event) {
+	switch e := event.(type) {
+	case config.PlatformFailed:
+		if !r.watchFailed {
+			r.logger.Warn().Str("event", "config_watch_failed").Err(e.Err).Send()
+		}
+		r.watchFailed = true
+	case config.PlatformRead:
+		if r.watchFailed {
+			r.logger.Info().Str("event", "config_watch_recovered").Send()
+		}
+		r.watchFailed = false
+	}
+}
--- /dev/null
+++ b/internal/config/adopter_status.go
@@ -0,0 +1,61 @@
+package config
+
+import (
+	"fmt"
+	"time"
+)
+
+// Status describes adoption for operators.
+type Status struct {
+	Version   Version
+	AdoptedAt time.Time
+	// Source is where the adopted version came from.
+	Source string
+	// Reason says why there is no configuration; empty when there is one.
+	Reason string
+	// Watching is set while this host watches the platform.
+	Watching bool
+	// WatchFailures counts the failed reads of the platform in a row.
+	WatchFailures int
+	// ConfirmedAge is how long ago a host was known to have read the platform;
+	// negative when that is not known.
+	ConfirmedAge time.Duration
+	// Pending is the version being fetched; zero when there is none.
+	Pending Version
+}
+
+// Status returns the current status.
+func (a *Adopter) Status(now time.Time) Status {
+	s := Status{
+		Version:       a.bundle.Version(),
+		AdoptedAt:     a.adoptedAt,
+		Watching:      a.watches(),
+		WatchFailures: a.watch.failures,
+		ConfirmedAge:  a.ConfirmedAge(now),
+	}
+	if a.bundle != nil {
+		s.Source = a.source.String()
+	} else {
+		s.Reason = a.joiningReason()
+	}
+	if a.candidate != nil {
+		s.Pending = a.candidate.head.Version
+	}
+	return s
+}
+
+func (a *Adopter) joiningReason() string {
+	r := a.round
+	switch {
+	case r == nil:
+		return "not started"
+	case a.candidate != nil:
+		return fmt.Sprintf("fetching version %d from %s", a.candidate.head.Version, a.candidate.source)
+	case r.platformErr != nil:
+		return fmt.Sprintf("no configuration: no peer has one and the platform cannot be read (%v): bring the platform back or start this host while a peer runs", r.platformErr)
+	case r.empty:
+		return "no configuration: nothing is published and no peer has one: run oatlatch publish"
+	default:
+		return "no configuration yet: waiting for the platform and peers"
+	}
+}
