--- a/internal/admission/reason.go
+++ b/internal/admission/reason.go
@@ -27,6 +27,7 @@
 	ReasonAnswerTooLarge    Reason = "answer-too-large"
 	ReasonAnswerTruncated   Reason = "answer-truncated"
 	ReasonAnswerUnframed    Reason = "answer-unframed"
+	ReasonAnswerCrossed     Reason = "answer-crossed"
 	ReasonOverloaded        Reason = "overloaded"
 	ReasonQueueFull         Reason = "queue-full"
 	ReasonNoUpstream        Reason = "no-upstream"
@@ -47,6 +48,7 @@
 		ReasonTicketForeign, ReasonTicketExpired, ReasonTicketReused, ReasonTicketRefused,
 		ReasonTicketForgotten, ReasonTicketVoid, ReasonIssuerUnreachable, ReasonInProgress,
 		ReasonAnswerNotKept, ReasonAnswerTooLarge, ReasonAnswerTruncated, ReasonAnswerUnframed,
+		ReasonAnswerCrossed,
 		ReasonOverloaded, ReasonQueueFull, ReasonNoUpstream, ReasonDeadlineInQueue,
 		ReasonDeadline, ReasonCancelled, ReasonUpstreamDown, ReasonUpstreamShed,
 		ReasonUpstreamReset, ReasonDraining,
--- a/internal/dispatch/cluster_test.go
+++ b/internal/dispatch/cluster_test.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"net/netip"
 	"net/rpc"
 	"reflect"
 	"slices"
@@ -49,6 +50,8 @@
 	dispatcher *dispatch.Dispatcher
 	server     *http.Server
 	address    string
+	// leaving hosts get no new connections from the fabric.
+	leaving bool
 }
 
 var errUnreachable = errors.New("test: host unreachable")
@@ -66,6 +69,7 @@
 
 func newCluster(t testing.TB, o clusterOptions) *cluster {
 	t.Helper()
+	o.limits.QuietTime = 20 * time.Millisecond
 	c := &cluster{
 		t: t, limits: o.limits,
 		nodes: make(map[host.ID]*node),
@@ -160,22 +164,19 @@
 }
 
 // stop ends a host gracefully and returns what the drain reports.
-func (c *cluster) stop(id host.ID) dispatch.Summary {
+func (c *cluster) stop(id host.ID) (dispatch.Summary, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
 	defer cancel()
 	n := c.node(id)
-	summary, err := n.dispatcher.Drain(ctx)
-	if err != nil {
-		c.t.Errorf("drain %s: %v", id, err)
-	}
-	if err := n.server.Shutdown(ctx); err != nil {
-		c.t.Errorf("shutdown %s: %v", id, err)
-	}
+	c.mu.Lock()
+	n.leaving = true
+	c.mu.Unlock()
+	summary, err := n.dispatcher.Stop(ctx, n.server)
 	c.mu.Lock()
 	delete(c.nodes, id)
 	c.mu.Unlock()
 	c.publishView()
-	return summary
+	return summary, err
 }
 
 func (c *cluster) node(id host.ID) *node {
@@ -221,7 +222,9 @@
 	defer c.mu.Unlock()
 	var all []string
 	for _, n := range c.nodes {
-		all = append(all, n.address)
+		if !n.leaving {
+			all = append(all, n.address)
+		}
 	}
 	slices.Sort(all)
 	return all
@@ -290,3 +293,16 @@
 	}
 	return gob.NewDecoder(&buffer).Decode(to)
 }
+
+// redirectUpstream makes all hosts use another address for an upstream.
+func (c *cluster) redirectUpstream(index int, address string) {
+	next := *c.snapshot
+	next.Manifest.Version++
+	next.Services = slices.Clone(c.snapshot.Services)
+	next.Services[0].Upstreams = slices.Clone(next.Services[0].Upstreams)
+	next.Services[0].Upstreams[index].Address = netip.MustParseAddrPort(address)
+	c.snapshot = &next
+	for _, n := range c.nodes {
+		n.dispatcher.Adopt(&next)
+	}
+}
--- a/internal/dispatch/exchange.go
+++ b/internal/dispatch/exchange.go
@@ -10,34 +10,14 @@
 	"net/http"
 	"net/netip"
 	"slices"
-	"sync/atomic"
 	"time"
 
 	"github.com/oatlatch/oatlatch/internal/admission"
 )
 
-// Statuses by which an upstream says that it refused a request before running it.
+// shedStatus is the status by which an upstream says that it refused a request before running it.
 const shedStatus = http.StatusTooManyRequests
 
-// attempt records what happened to the bytes of one exchange.
-type attempt struct {
-	wrote atomic.Bool
-}
-
-type attemptKey struct{}
-
-// trackedConn notes on the attempt that dialled it whether any byte was written.
-type trackedConn struct {
-	net.Conn
-	attempt *attempt
-}
-
-// Write notes the write before it happens, so that an error cannot hide it.
-func (c *trackedConn) Write(p []byte) (int, error) {
-	c.attempt.wrote.Store(true)
-	return c.Conn.Write(p)
-}
-
 // exchanger sends requests to upstreams.
 type exchanger struct {
 	// pooled reuses connections and serves idempotent requests only.
@@ -81,7 +61,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &trackedConn{Conn: conn, attempt: tracked}, nil
+	return tracked.track(conn), nil
 }
 
 // outbound is a request as it goes to an upstream.
@@ -104,7 +84,7 @@
 		return nil, false, err
 	}
 	resp, err = e.single.RoundTrip(request)
-	return resp, tracked.wrote.Load(), err
+	return resp, tracked.end(), err
 }
 
 // send sends an idempotent request, on a reused connection if there is one.
@@ -142,6 +122,12 @@
 	return resp.StatusCode == shedStatus || resp.Header.Get(HeaderOutcome) == string(admission.NotRun)
 }
 
+// crossed says whether the upstream names another request as the one it answers.
+func crossed(resp *http.Response, out outbound) bool {
+	echo := resp.Header.Get(HeaderRequestID)
+	return echo != "" && echo != out.requestID
+}
+
 // framed says whether the end of the answer's body can be told from a cut.
 func framed(resp *http.Response) bool {
 	return resp.ContentLength >= 0 || slices.Contains(resp.TransferEncoding, "chunked") || resp.ProtoMajor >= 2
--- a/internal/dispatch/handler.go
+++ b/internal/dispatch/handler.go
@@ -15,9 +15,9 @@
 
 // serve answers one request of a caller.
 func (d *Dispatcher) serve(w http.ResponseWriter, r *http.Request) {
-	d.metrics.begin()
-	defer d.metrics.end()
 	started := d.options.Now()
+	d.metrics.begin(started)
+	defer d.metrics.end()
 	c := &call{d: d, w: w, r: r, started: started}
 	routes := d.routes.Load()
 	if routes == nil {
@@ -55,7 +55,7 @@
 func (c *call) serveOnce(deadlineOK bool) {
 	raw := c.r.Header.Get(HeaderTicket)
 	if raw == "" {
-		c.tell(admission.NotRun, admission.ReasonTicketRequired)
+		c.requireTicket()
 		return
 	}
 	t, err := c.d.verify(raw)
@@ -84,6 +84,15 @@
 	}))
 }
 
+// requireTicket refuses a request without a ticket, and gives one out.
+func (c *call) requireTicket() {
+	if c.d.isDraining() {
+		c.tell(admission.NotRun, admission.ReasonDraining)
+		return
+	}
+	c.tell(admission.NotRun, admission.ReasonTicketRequired)
+}
+
 // readBody reads the whole body within the limits of size and time.
 func (c *call) readBody() ([]byte, admission.Reason) {
 	limit := c.d.limits.MaxBodyBytes
@@ -137,6 +146,9 @@
 	header := c.w.Header()
 	header.Set(HeaderOutcome, string(outcome))
 	header.Set(HeaderReason, string(reason))
+	if c.d.isDraining() {
+		header.Set("Connection", "close")
+	}
 	if c.route == nil {
 		return
 	}
--- a/internal/dispatch/handover.go
+++ b/internal/dispatch/handover.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 
 	"github.com/oatlatch/oatlatch/internal/host"
@@ -17,8 +18,17 @@
 	Transfer ticket.Transfer
 }
 
-// AcceptReply is empty: the absence of an error says that the part was taken.
-type AcceptReply struct{}
+// AcceptReply answers one part.
+type AcceptReply struct {
+	// Refused is set when the host did not take the part and holds nothing of it.
+	Refused bool
+}
+
+// handoverTries bounds the tries to hand a ledger to one successor.
+const handoverTries = 3
+
+// errRefused says that a host did not take a ledger.
+var errRefused = errors.New("dispatch: the host refused the ledger because it is draining itself")
 
 // maxPartBytes bounds the answers in one part of a handover.
 const maxPartBytes = 256 << 10
@@ -63,6 +73,12 @@
 	return summary, nil
 }
 
+func (d *Dispatcher) isDraining() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.draining
+}
+
 func (d *Dispatcher) handOver(ctx context.Context, b *book) (LedgerSummary, error) {
 	select {
 	case <-b.close():
@@ -73,12 +89,14 @@
 	ledger := LedgerSummary{Incarnation: transfer.Incarnation, Records: len(transfer.Records)}
 	var err error
 	for _, successor := range d.successors(transfer.Incarnation) {
-		if err = d.send(ctx, successor, transfer); err == nil {
+		if err = d.trySend(ctx, successor, transfer); err == nil {
 			ledger.Successor = successor
 			b.move(successor)
 			return ledger, nil
 		}
-		transfer.Exclusive = false
+		if !errors.Is(err, errRefused) {
+			transfer.Exclusive = false
+		}
 	}
 	b.move("")
 	if err != nil {
@@ -87,6 +105,19 @@
 	return ledger, nil
 }
 
+// trySend hands the transfer to a successor, again if an answer was lost: a
+// successor that has the ledger already says so by taking it once more.
+func (d *Dispatcher) trySend(ctx context.Context, to host.ID, transfer ticket.Transfer) error {
+	var err error
+	for range handoverTries {
+		err = d.send(ctx, to, transfer)
+		if err == nil || errors.Is(err, errRefused) || ctx.Err() != nil {
+			return err
+		}
+	}
+	return err
+}
+
 // send hands the transfer to a successor in parts.
 func (d *Dispatcher) send(ctx context.Context, to host.ID, transfer ticket.Transfer) error {
 	records := transfer.Records
@@ -95,9 +126,13 @@
 	for {
 		args.Transfer.Records, records = splitRecords(records)
 		args.Last = len(records) == 0
-		if err := d.options.Peers.Call(ctx, to, "Request.Accept", &args, &AcceptReply{}); err != nil {
+		var reply AcceptReply
+		if err := d.options.Peers.Call(ctx, to, "Request.Accept", &args, &reply); err != nil {
 			return err
 		}
+		if reply.Refused {
+			return errRefused
+		}
 		if args.Last {
 			return nil
 		}
@@ -118,23 +153,23 @@
 }
 
 // accept takes over a part of a ledger. Repeated parts change nothing.
-func (d *Dispatcher) accept(args *AcceptArgs) error {
+func (d *Dispatcher) accept(args *AcceptArgs, reply *AcceptReply) error {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	id := args.Transfer.Incarnation
-	if d.draining {
-		return fmt.Errorf("dispatch: %s is draining: hand the ledger to another host", d.options.Self.ID)
-	}
 	if d.books[id] != nil {
 		return nil
 	}
+	if d.draining {
+		delete(d.incoming, id)
+		reply.Refused = true
+		return nil
+	}
 	if args.Part == 0 {
-		d.incoming[id] = &ticket.Transfer{}
-		*d.incoming[id] = args.Transfer
-	} else if incoming := d.incoming[id]; incoming == nil {
-		return fmt.Errorf("dispatch: part %d came before part 0: send the ledger again", args.Part)
-	} else {
-		incoming.Records = append(incoming.Records, args.Transfer.Records...)
+		first := args.Transfer
+		d.incoming[id] = &first
+	} else if err := d.appendPart(id, args); err != nil {
+		return err
 	}
 	if args.Last {
 		d.books[id] = newBook(ticket.Adopt(d.ledgerBounds(), *d.incoming[id]))
@@ -142,3 +177,12 @@
 	}
 	return nil
 }
+
+func (d *Dispatcher) appendPart(id host.Incarnation, args *AcceptArgs) error {
+	incoming := d.incoming[id]
+	if incoming == nil {
+		return fmt.Errorf("dispatch: part %d came before part 0: send the ledger again", args.Part)
+	}
+	incoming.Records = append(incoming.Records, args.Transfer.Records...)
+	return nil
+}
--- a/internal/dispatch/holder_test.go
+++ b/internal/dispatch/holder_test.go
@@ -22,9 +22,9 @@
 	}()
 	g := gomega.NewWithT(t)
 	g.Eventually(func() int { return c.runs()["slow"] }).Should(gomega.Equal(1))
-	summary := c.stop("entry-0")
-	if len(summary.Ledgers) != 1 || summary.Ledgers[0].Successor == "" || summary.Ledgers[0].Records != 2 {
-		t.Fatalf("summary: %+v", summary)
+	summary, err := c.stop("entry-0")
+	if err != nil || len(summary.Ledgers) != 1 || summary.Ledgers[0].Successor == "" || summary.Ledgers[0].Records != 2 {
+		t.Fatalf("summary: %+v, %v", summary, err)
 	}
 	if got := <-done; got != "answered/ok" {
 		t.Fatalf("request in progress at the stop: %s", got)
--- a/internal/dispatch/idempotent.go
+++ b/internal/dispatch/idempotent.go
@@ -92,11 +92,15 @@
 		}
 		c.route.lane.release(upstream, busy)
 	}()
-	resp, err := c.d.sender.send(ctx, c.route.addresses[upstream], c.outbound(), c.deadline.Sub(began))
+	out := c.outbound()
+	resp, err := c.d.sender.send(ctx, c.route.addresses[upstream], out, c.deadline.Sub(began))
 	if err != nil {
 		return &failure{outcome: admission.Unknown, reason: admission.ReasonUpstreamReset}
 	}
 	defer resp.Body.Close()
+	if crossed(resp, out) {
+		return &failure{outcome: admission.Unknown, reason: admission.ReasonAnswerCrossed}
+	}
 	if refusedBeforeRun(resp) {
 		return &failure{outcome: admission.NotRun, reason: admission.ReasonUpstreamShed}
 	}
--- a/internal/dispatch/metrics.go
+++ b/internal/dispatch/metrics.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 	"sync"
+	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
 
@@ -27,6 +28,7 @@
 	outcomeCounts map[outcomeKey]uint64
 	retryCounts   map[admission.Reason]uint64
 	running       int
+	begun         time.Time
 }
 
 func newMetrics(registerer prometheus.Registerer) *metrics {
@@ -61,13 +63,21 @@
 	return m
 }
 
-func (m *metrics) begin() {
+func (m *metrics) begin(now time.Time) {
 	m.inProgress.Inc()
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	m.begun = now
 	m.running++
 }
 
+// lastBegun returns when the last request arrived.
+func (m *metrics) lastBegun() time.Time {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.begun
+}
+
 func (m *metrics) end() {
 	m.inProgress.Dec()
 	m.mu.Lock()
--- a/internal/dispatch/once.go
+++ b/internal/dispatch/once.go
@@ -103,7 +103,8 @@
 
 func (d *Dispatcher) exchangeOnce(ctx context.Context, r *route, upstream string, t ticket.Ticket, j job, left time.Duration) ticket.Result {
 	requestID := fmt.Sprintf("%x-%x", uint64(t.Incarnation), t.Sequence)
-	resp, wrote, err := d.sender.sendOnce(ctx, r.addresses[upstream], j.outbound(requestID), left)
+	out := j.outbound(requestID)
+	resp, wrote, err := d.sender.sendOnce(ctx, r.addresses[upstream], out, left)
 	if err != nil && !wrote {
 		return notRun(reasonOf(ctx, admission.ReasonUpstreamDown))
 	}
@@ -111,6 +112,9 @@
 		return unknown(reasonOf(ctx, admission.ReasonUpstreamReset))
 	}
 	defer resp.Body.Close()
+	if crossed(resp, out) {
+		return unknown(admission.ReasonAnswerCrossed)
+	}
 	if refusedBeforeRun(resp) {
 		return notRun(admission.ReasonUpstreamShed)
 	}
--- a/internal/dispatch/options.go
+++ b/internal/dispatch/options.go
@@ -36,6 +36,9 @@
 	DialTimeout time.Duration
 	// RelayTimeout bounds one try to reach a ticket's issuer beyond the request itself.
 	RelayTimeout time.Duration
+	// QuietTime is how long no request must arrive before a stopping host closes
+	// its idle connections.
+	QuietTime time.Duration
 	// MaxHeaderBytes bounds the headers of requests and answers.
 	MaxHeaderBytes int
 	// MaxBodyBytes bounds the body of a non-idempotent request.
@@ -65,6 +68,7 @@
 	defaultWriteTimeout    = 30 * time.Second
 	defaultDialTimeout     = time.Second
 	defaultRelayTimeout    = time.Second
+	defaultQuietTime       = time.Second
 	defaultMaxHeaderBytes  = 32 << 10
 	defaultMaxBodyBytes    = 1 << 20
 	defaultMaxAnswerBytes  = 1 << 20
@@ -84,6 +88,7 @@
 	orDefault(&l.WriteTimeout, defaultWriteTimeout)
 	orDefault(&l.DialTimeout, defaultDialTimeout)
 	orDefault(&l.RelayTimeout, defaultRelayTimeout)
+	orDefault(&l.QuietTime, defaultQuietTime)
 	orDefault(&l.TicketLife, defaultTicketLife)
 	orDefault(&l.KeepResults, defaultKeepResults)
 	orDefault(&l.MaxHeaderBytes, defaultMaxHeaderBytes)
--- a/internal/dispatch/peerservice.go
+++ b/internal/dispatch/peerservice.go
@@ -60,5 +60,5 @@
 
 // Accept takes over a part of a ledger; the last part puts it into use.
 func (s *peerService) Accept(args *AcceptArgs, reply *AcceptReply) error {
-	return s.d.accept(args)
+	return s.d.accept(args, reply)
 }
--- a/internal/dispatch/relay.go
+++ b/internal/dispatch/relay.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/oatlatch/oatlatch/internal/admission"
@@ -39,6 +40,9 @@
 // successor, each of which may name a further one.
 const maxHops = 6
 
+// relayTries bounds the calls to one host for one request.
+const relayTries = 2
+
 // resolve finds the holder of the ticket's ledger, here or at a peer, and
 // returns what became of the request.
 func (d *Dispatcher) resolve(ctx context.Context, raw string, t ticket.Ticket, j job) ticket.Result {
@@ -56,7 +60,7 @@
 func (d *Dispatcher) claimVerified(ctx context.Context, b *book, raw string, j job) (ticket.Result, bool) {
 	t, err := d.verify(raw)
 	if err != nil {
-		return notRun(admission.ReasonTicketForged), false
+		return d.unverified(b), false
 	}
 	return d.claim(ctx, b, t, j)
 }
@@ -80,7 +84,7 @@
 func (d *Dispatcher) burnHere(ctx context.Context, b *book, raw string, reason admission.Reason, deadline time.Time) (ticket.Result, bool) {
 	t, err := d.verify(raw)
 	if err != nil {
-		return notRun(admission.ReasonTicketForged), false
+		return d.unverified(b), false
 	}
 	claim := b.burn(d.options.Now(), t, reason)
 	switch claim.Kind {
@@ -93,6 +97,15 @@
 	}
 }
 
+// unverified is the outcome of a ticket under a key that this host does not
+// hold. The issuer holds every key that it used, but a successor may not.
+func (d *Dispatcher) unverified(b *book) ticket.Result {
+	if b == d.own {
+		return notRun(admission.ReasonTicketForged)
+	}
+	return unknown(admission.ReasonTicketVoid)
+}
+
 func (d *Dispatcher) relayArgs(raw string, j job) RelayArgs {
 	return RelayArgs{
 		Ticket: raw, Service: j.service, Method: j.method, Path: j.path, Host: j.host,
@@ -103,22 +116,18 @@
 // relay asks the hosts that may hold the ledger, one after the other. That is
 // safe, because only one of them can have the right to run the ticket.
 func (d *Dispatcher) relay(ctx context.Context, t ticket.Ticket, args RelayArgs, first host.ID) ticket.Result {
-	left := time.Duration(args.LeftMs) * time.Millisecond
-	ctx, cancel := context.WithTimeout(ctx, left)
+	ctx, cancel := context.WithTimeout(ctx, time.Duration(args.LeftMs)*time.Millisecond)
 	defer cancel()
 	queue := d.holders(t, first)
 	unreachable := false
 	for hops := 0; hops < maxHops && hops < len(queue); hops++ {
-		var reply RelayReply
-		err := d.options.Peers.Call(ctx, queue[hops], "Request.Relay", &args, &reply)
+		reply, err := d.ask(ctx, queue[hops], args)
 		switch {
 		case err != nil:
 			unreachable = true
-			d.metrics.relays.WithLabelValues("failed").Inc()
 		case reply.MovedTo != "":
-			queue = append(queue[:hops+1], append([]host.ID{reply.MovedTo}, queue[hops+1:]...)...)
+			queue = slices.Insert(queue, hops+1, reply.MovedTo)
 		case !reply.NotHolder:
-			d.metrics.relays.WithLabelValues("answered").Inc()
 			return reply.Result
 		}
 	}
@@ -127,3 +136,24 @@
 	}
 	return unknown(admission.ReasonTicketVoid)
 }
+
+// ask calls one host, and once more when the connection failed: a repeat of the
+// ticket joins the run that the first call may have begun.
+func (d *Dispatcher) ask(ctx context.Context, to host.ID, args RelayArgs) (RelayReply, error) {
+	deadline, _ := ctx.Deadline()
+	var err error
+	for range relayTries {
+		args.LeftMs = max(1, time.Until(deadline).Milliseconds())
+		var reply RelayReply
+		err = d.options.Peers.Call(ctx, to, "Request.Relay", &args, &reply)
+		if err == nil {
+			d.metrics.relays.WithLabelValues("answered").Inc()
+			return reply, nil
+		}
+		d.metrics.relays.WithLabelValues("failed").Inc()
+		if ctx.Err() != nil {
+			break
+		}
+	}
+	return RelayReply{}, err
+}
--- a/internal/standin/upstream/fault.go
+++ b/internal/standin/upstream/fault.go
@@ -16,6 +16,8 @@
 	Shed bool
 	// Unframed leaves the end of answers unmarked but for the end of the connection.
 	Unframed bool
+	// Crossed answers each request with the answer to another one.
+	Crossed bool
 	// FalseLoad replaces the load report when it is not negative and HasFalseLoad is set.
 	FalseLoad    float64
 	HasFalseLoad bool
--- a/internal/standin/upstream/handler.go
+++ b/internal/standin/upstream/handler.go
@@ -149,6 +149,13 @@
 		return
 	}
 	answer := Answer(run.RequestID, body, answerSize(r))
+	echo := r.Header.Get("Oatlatch-Request-Id")
+	if faults.Crossed {
+		echo, answer = "another-request", Answer("another-request", nil, answerSize(r))
+	}
+	if echo != "" {
+		w.Header().Set("Oatlatch-Request-Id", echo)
+	}
 	if faults.Unframed {
 		writeUnframed(w, answer)
 		return
