Prove convergence and no reversal in a simulated fleet

Change: notices are remembered and followed one by one, a failed routine pull moves on to another peer up to three times, and few new pages come along with the head.

--- a/internal/adopt/duties.go
+++ b/internal/adopt/duties.go
@@ -42,7 +42,8 @@
 		return
 	}
 	r.report(ctx, config.Pulled{
-		Peer: pull.Peer, Version: reply.Version, Head: reply.Head, ConfirmedAge: reply.ConfirmedAge,
+		Peer: pull.Peer, Version: reply.Version, Head: reply.Head, Pages: reply.Pages,
+		ConfirmedAge: reply.ConfirmedAge,
 	})
 }
 
--- a/internal/adopt/messages.go
+++ b/internal/adopt/messages.go
@@ -20,6 +20,8 @@
 type PullReply struct {
 	Version config.Version
 	Head    []byte
+	// Pages are those that are newer than the asked version, if they are few.
+	Pages []config.PageData
 	// ConfirmedAge is how long ago a host was known to have read the platform;
 	// negative when that is not known.
 	ConfirmedAge time.Duration
--- a/internal/adopt/peer_service.go
+++ b/internal/adopt/peer_service.go
@@ -8,6 +8,8 @@
 const (
 	// maxFetchBytes bounds a FetchReply unless a single page exceeds it.
 	maxFetchBytes = 512 << 10
+	// maxPullBytes bounds the pages that come along with a head.
+	maxPullBytes = 64 << 10
 	// maxFetchRefs bounds the pages that one call may ask for.
 	maxFetchRefs = config.Buckets
 )
@@ -29,8 +31,12 @@
 	reply.ConfirmedAge = state.confirmedAge(s.runner.options.Now())
 	if reply.Version > args.Version {
 		reply.Head = state.bundle.HeadData
+		reply.Pages = state.bundle.PagesSince(args.Version, maxPullBytes)
 	}
 	s.runner.metrics.sent(len(reply.Head))
+	for _, page := range reply.Pages {
+		s.runner.metrics.sent(len(page.Data))
+	}
 	return nil
 }
 
--- a/internal/config/adopter.go
+++ b/internal/config/adopter.go
@@ -69,10 +69,9 @@
 	source    Source
 	round     *round
 	candidate *candidate
-	catchUp   catchUp
 	watch     watch
 	confirm   confirm
-	pullAt    time.Time
+	pulls     pulling
 	// confirmedAt is when somebody was last known to have read the platform.
 	confirmedAt time.Time
 }
@@ -93,7 +92,7 @@
 func (a *Adopter) Start(now time.Time) []Action {
 	a.now = now
 	a.round = &round{startedAt: now}
-	a.pullAt = now.Add(a.jitter(pullInterval))
+	a.pulls.at = now.Add(a.jitter(pullInterval))
 	a.beginRound()
 	return a.take()
 }
--- a/internal/config/adopter_events.go
+++ b/internal/config/adopter_events.go
@@ -32,6 +32,8 @@
 	Version Version
 	// Head is empty unless Version is higher than the asking host's.
 	Head []byte
+	// Pages are those that are newer than the asking host's version, if they are few.
+	Pages []PageData
 	// ConfirmedAge is how long ago the peer knew somebody to have read the platform;
 	// negative when it never did.
 	ConfirmedAge time.Duration
--- a/internal/config/adopter_fetch.go
+++ b/internal/config/adopter_fetch.go
@@ -2,11 +2,9 @@
 
 import "slices"
 
-// candidate is a higher version whose pages are being fetched.
-type candidate struct {
-	offer
-	pages []PageData
-}
+// candidate is a higher version whose pages are being fetched. Its offer's pages
+// grow until none is missing.
+type candidate struct{ offer }
 
 // startCandidate fetches what is missing of the offer unless a candidate as high
 // is under way.
@@ -14,11 +12,10 @@
 	if a.candidate != nil && o.head.Version <= a.candidate.head.Version {
 		return
 	}
-	next := &candidate{offer: o}
 	if a.candidate != nil {
-		next.pages = a.candidate.pages
+		o.pages = slices.Concat(o.pages, a.candidate.pages)
 	}
-	a.candidate = next
+	a.candidate = &candidate{offer: o}
 	a.fetchMissing()
 }
 
@@ -43,11 +40,7 @@
 		return
 	}
 	before := len(a.candidate.missing(a.bundle))
-	for _, page := range e.Pages {
-		if HashOf(page.Data) == page.Ref.Hash {
-			a.candidate.pages = append(a.candidate.pages, page)
-		}
-	}
+	a.candidate.pages = slices.Concat(a.candidate.pages, genuine(e.Pages))
 	if e.Source != a.candidate.source {
 		// The answer to the fetch of a candidate that a higher one has replaced.
 		return
@@ -59,6 +52,11 @@
 	a.fetchMissing()
 }
 
+// genuine returns the pages whose contents are those that they are named for.
+func genuine(pages []PageData) []PageData {
+	return slices.DeleteFunc(slices.Clone(pages), func(p PageData) bool { return HashOf(p.Data) != p.Ref.Hash })
+}
+
 func (a *Adopter) fetchFailed(e FetchFailed) {
 	if a.candidate != nil && e.Source == a.candidate.source {
 		a.dropCandidate()
@@ -75,7 +73,10 @@
 		return
 	}
 	a.watch.index = 0
-	a.pullRandom(failed.Peer)
+	a.pullNoticed()
+	if a.pulls.noticed == "" && a.pulls.routine == "" {
+		a.pullRandom(failed.Peer)
+	}
 }
 
 func (a *Adopter) adoptCandidate() {
--- a/internal/config/adopter_peers.go
+++ b/internal/config/adopter_peers.go
@@ -1,33 +1,49 @@
 package config
 
 import (
+	"slices"
 	"time"
 
 	"github.com/oatlatch/oatlatch/internal/host"
 )
 
-// catchUp is the state of pulls that a notice or a failure has triggered.
-type catchUp struct {
-	// version is the highest version that a pull is under way for.
-	version Version
-	peer    host.ID
-}
+const (
+	// pullRemoteOneIn is the share, one in this many, of pulls that go to another data centre.
+	pullRemoteOneIn = 4
+	// maxPullRetries bounds how often a failed pull is repeated with another peer.
+	maxPullRetries = 3
+	// maxNoticers bounds the peers that are remembered for having a higher version.
+	maxNoticers = 8
+)
 
-// pullRemoteOneIn is the share, one in this many, of pulls that go to another data centre.
-const pullRemoteOneIn = 4
+// pulling is the state of the pulls of a host that has a configuration. A routine
+// pull and one that follows a notice may be outstanding at the same time.
+type pulling struct {
+	// at is the time of the next routine pull.
+	at time.Time
+	// routine is the peer of the outstanding routine pull; empty when there is none.
+	routine host.ID
+	retries int
+	// noticed is the peer of the outstanding pull that follows a notice.
+	noticed host.ID
+	// noticers are other peers that gave notice of a higher version, and the
+	// version that each gave.
+	noticers []Noticed
+}
 
 func (a *Adopter) pullTimer() {
-	if a.now.Before(a.pullAt) {
+	if a.now.Before(a.pulls.at) {
 		return
 	}
-	a.pullAt = a.now.Add(a.jitter(pullInterval))
-	if a.bundle == nil {
+	a.pulls.at = a.now.Add(a.jitter(pullInterval))
+	if a.bundle == nil || a.pulls.routine != "" {
 		return
 	}
+	a.pulls.retries = 0
 	a.pullRandom("")
 }
 
-// pullRandom pulls from a random peer other than the given one.
+// pullRandom makes a routine pull from a random peer other than the given one.
 func (a *Adopter) pullRandom(except host.ID) {
 	from := a.peers.local
 	if len(from) == 0 || (len(a.peers.remote) > 0 && a.rng.IntN(pullRemoteOneIn) == 0) {
@@ -37,16 +53,15 @@
 		return
 	}
 	peer := from[a.rng.IntN(len(from))]
-	if peer == except && len(from) > 1 {
+	if peer == except {
 		peer = from[a.rng.IntN(len(from))]
 	}
+	a.pulls.routine = peer
 	a.do(Pull{Peer: peer, Version: a.bundle.Version()})
 }
 
 func (a *Adopter) pulled(e Pulled) {
-	if e.Peer == a.catchUp.peer {
-		a.catchUp = catchUp{}
-	}
+	a.pullEnded(e.Peer)
 	if e.ConfirmedAge >= 0 {
 		if at := a.now.Add(-e.ConfirmedAge); at.After(a.confirmedAt) {
 			a.confirmedAt = at
@@ -55,34 +70,63 @@
 	source := Source{Peer: e.Peer}
 	switch {
 	case len(e.Head) > 0:
-		a.offered(e.Head, source)
+		a.offeredWithPages(e.Head, e.Pages, source)
 	case e.Version < a.bundle.Version() && e.Version > 0:
 		a.do(Notify{Peer: e.Peer, Version: a.bundle.Version()})
 	}
 	a.roundAnswered(source)
+	a.pullNoticed()
 }
 
 func (a *Adopter) pullFailed(e PullFailed) {
-	if e.Peer == a.catchUp.peer {
-		a.catchUp = catchUp{}
-		if a.bundle != nil {
-			a.pullRandom(e.Peer)
-		}
+	routine := e.Peer == a.pulls.routine
+	a.pullEnded(e.Peer)
+	a.pullNoticed()
+	if routine && a.bundle != nil && a.pulls.retries < maxPullRetries {
+		a.pulls.retries++
+		a.pullRandom(e.Peer)
 	}
 	a.roundAnswered(Source{Peer: e.Peer})
 }
 
-// noticed pulls from the peer unless the version is known or being pulled already.
+func (a *Adopter) pullEnded(peer host.ID) {
+	if peer == a.pulls.routine {
+		a.pulls.routine = ""
+	}
+	if peer == a.pulls.noticed {
+		a.pulls.noticed = ""
+	}
+}
+
+// noticed remembers that the peer has a higher version and pulls it.
 func (a *Adopter) noticed(e Noticed) {
-	known := max(a.bundle.Version(), a.catchUp.version)
+	if e.Version <= a.bundle.Version() || len(a.pulls.noticers) == maxNoticers {
+		return
+	}
+	a.pulls.noticers = append(a.pulls.noticers, e)
+	a.pullNoticed()
+}
+
+// pullNoticed pulls from the next peer that gave notice of a version that is still
+// higher than what this host has or is fetching.
+func (a *Adopter) pullNoticed() {
+	known := a.bundle.Version()
 	if a.candidate != nil {
 		known = max(known, a.candidate.head.Version)
 	}
-	if e.Version <= known {
+	p := &a.pulls
+	p.noticers = slices.DeleteFunc(p.noticers, func(n Noticed) bool { return n.Version <= a.bundle.Version() })
+	if p.noticed != "" {
 		return
 	}
-	a.catchUp = catchUp{version: e.Version, peer: e.Peer}
-	a.do(Pull{Peer: e.Peer, Version: a.bundle.Version()})
+	for i, n := range p.noticers {
+		if n.Version > known {
+			p.noticers = slices.Delete(p.noticers, i, i+1)
+			p.noticed = n.Peer
+			a.do(Pull{Peer: n.Peer, Version: a.bundle.Version()})
+			return
+		}
+	}
 }
 
 // notifyPeers tells the peer set of the adopted version.
--- a/internal/config/adopter_platform.go
+++ b/internal/config/adopter_platform.go
@@ -81,13 +81,16 @@
 }
 
 // offered decides about a head that a source has.
-func (a *Adopter) offered(data []byte, source Source) {
+func (a *Adopter) offered(data []byte, source Source) { a.offeredWithPages(data, nil, source) }
+
+// offeredWithPages decides about a head and those of its pages that came along.
+func (a *Adopter) offeredWithPages(data []byte, pages []PageData, source Source) {
 	head, err := DecodeHead(data)
 	if err != nil {
 		a.refuse(source, head.Version, err)
 		return
 	}
-	switch o := (offer{head: head, data: data, source: source}); {
+	switch o := (offer{head: head, data: data, pages: genuine(pages), source: source}); {
 	case a.bundle == nil:
 		a.offeredWhileJoining(o)
 	case head.Version > a.bundle.Version():
--- a/internal/config/adopter_round.go
+++ b/internal/config/adopter_round.go
@@ -28,6 +28,7 @@
 type offer struct {
 	head   Head
 	data   []byte
+	pages  []PageData
 	source Source
 }
 
--- a/internal/config/adopter_timers.go
+++ b/internal/config/adopter_timers.go
@@ -11,7 +11,7 @@
 
 // NextWake returns when the driver has to report TimerFired at the latest.
 func (a *Adopter) NextWake() time.Time {
-	next := a.pullAt
+	next := a.pulls.at
 	if a.round != nil && a.candidate == nil {
 		next = earlier(next, a.round.wake(a.now))
 	}
--- a/internal/config/bundle.go
+++ b/internal/config/bundle.go
@@ -84,6 +84,25 @@
 	return page.PageData, ok
 }
 
+// PagesSince returns the pages that were written after the version, or none if they
+// exceed the limit in bytes.
+func (b *Bundle) PagesSince(version Version, limit int) []PageData {
+	if b == nil {
+		return nil
+	}
+	var pages []PageData
+	for _, page := range b.pages {
+		if page.Ref.Version <= version {
+			continue
+		}
+		if limit -= len(page.Data); limit < 0 {
+			return nil
+		}
+		pages = append(pages, page.PageData)
+	}
+	return pages
+}
+
 // Missing returns the pages of head that the bundle does not hold.
 func (b *Bundle) Missing(head Head) []PageRef {
 	var missing []PageRef
--- /dev/null
+++ b/internal/config/sim_converge_test.go
@@ -0,0 +1,159 @@
+package config_test
+
+import (
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/oatlatch/oatlatch/internal/config"
+)
+
+var errUnreachable = errors.New("unreachable")
+
+const (
+	// inForce bounds the time from a publication to its adoption by every host.
+	inForce = 3 * time.Second
+	// joinLimit bounds the time in which a host that joins a running fleet serves.
+	joinLimit = 2 * time.Second
+)
+
+// newFleet returns a running fleet that has adopted a first version.
+func newFleet(t testing.TB, seed uint64, hosts, dataCentres int) *sim {
+	t.Helper()
+	s := newSim(seed, t.Fatalf)
+	s.publish(svc(1, 3, 1), svc(2, 3, 1))
+	for range hosts {
+		s.addHost(dataCentres)
+	}
+	for _, h := range s.hosts {
+		h.boot()
+	}
+	s.run(10 * time.Second)
+	s.expect(t, 1, "after the start")
+	return s
+}
+
+// expect checks that all running hosts have the version.
+func (s *sim) expect(t testing.TB, version config.Version, when string) {
+	t.Helper()
+	for _, h := range s.hosts {
+		if got := h.adopter.Bundle().Version(); h.up && got != version {
+			t.Fatalf("%s: %s has version %d instead of %d", when, h.self, got, version)
+		}
+	}
+}
+
+func TestInForceOnAllHosts(t *testing.T) {
+	scenarios := map[string]func(*sim){
+		"no fault":            func(*sim) {},
+		"one watch broken":    func(s *sim) { s.hosts[0].deaf = true },
+		"half the hosts cut":  func(s *sim) { s.cutHalf() },
+		"a fifth of messages": func(s *sim) { s.loss = 0.2 },
+		"half cut and a fifth of messages lost": func(s *sim) {
+			s.cutHalf()
+			s.loss = 0.2
+		},
+	}
+	for name, breakFleet := range scenarios {
+		t.Run(name, func(t *testing.T) {
+			for hosts, seeds := range map[int]uint64{4: 20, 50: 5, 430: 1} {
+				for seed := range seeds {
+					s := newFleet(t, seed, hosts, 7)
+					breakFleet(s)
+					for weight := range 3 {
+						version := s.publish(svc(1, 3, weight+2))
+						s.run(inForce)
+						s.expect(t, version, name)
+					}
+				}
+			}
+		})
+	}
+}
+
+// cutHalf cuts a random half of the hosts from the platform.
+func (s *sim) cutHalf() {
+	for i, n := range s.rng.Perm(len(s.hosts)) {
+		s.hosts[n].cut = i < len(s.hosts)/2
+	}
+}
+
+func TestWatchersCutOffAreReplaced(t *testing.T) {
+	s := newFleet(t, 1, 140, 7)
+	for _, h := range s.hosts {
+		if h.adopter.Status(s.now).Watching {
+			h.cut = true
+		}
+	}
+	s.run(2 * time.Minute)
+	for weight := range 3 {
+		version := s.publish(svc(1, 3, weight+2))
+		s.run(inForce)
+		s.expect(t, version, "after the watchers were cut off")
+	}
+}
+
+func TestOutageKeepsTheConfigurationAndHealsWithoutAHerd(t *testing.T) {
+	const hosts = 430
+	s := newFleet(t, 1, hosts, 7)
+	for _, h := range s.hosts {
+		h.cut = true
+	}
+	s.run(10 * time.Minute)
+	s.expect(t, 1, "in the outage")
+	version := s.publish(svc(1, 3, 9))
+	healed := int(s.now.Sub(s.start) / time.Second)
+	for _, h := range s.hosts {
+		h.cut = false
+	}
+	s.run(time.Minute)
+	s.expect(t, version, "after the outage")
+	for second := healed; second < healed+60; second++ {
+		if s.calls[second] > hosts/4 {
+			t.Fatalf("%d calls in second %d after the outage: a herd", s.calls[second], second-healed)
+		}
+	}
+}
+
+func TestAnyLengthOfOutage(t *testing.T) {
+	s := newFleet(t, 1, 4, 3)
+	for _, h := range s.hosts {
+		h.cut = true
+	}
+	s.run(24 * time.Hour)
+	s.expect(t, 1, "after a day of outage")
+}
+
+func TestJoinsWithThePlatformDown(t *testing.T) {
+	for _, hosts := range []int{4, 50} {
+		s := newFleet(t, 2, hosts, 4)
+		for _, h := range s.hosts {
+			h.cut = true
+		}
+		fresh := s.addHost(4)
+		fresh.cut = true
+		fresh.boot()
+		s.run(joinLimit)
+		s.expect(t, 1, "joining without the platform")
+	}
+}
+
+func TestJoiningHostTakesTheHighestOfPeersAndPlatform(t *testing.T) {
+	s := newFleet(t, 3, 5, 3)
+	old := s.store.Copy()
+	version := s.publish(svc(1, 3, 5))
+	s.run(inForce)
+	for _, h := range s.hosts {
+		h.stale = old
+	}
+	s.hosts[0].kill()
+	s.hosts[0].boot()
+	s.run(joinLimit)
+	s.expect(t, version, "joining with a stale platform")
+	s.run(time.Minute)
+	for _, h := range s.hosts {
+		if h.refused[config.RefuseStale] == 0 {
+			t.Fatalf("%s did not report the stale platform", h.self)
+		}
+	}
+}
