--- a/internal/config/main_test.go
+++ b/internal/config/main_test.go
@@ -6,10 +6,18 @@
 	"testing"
 )
 
-// TestMain fixes the seed of the stateful tests, so that every run is the same.
+// TestMain fixes the seed of the stateful tests, so that every run is the same
+// unless the command line says otherwise.
 func TestMain(m *testing.M) {
 	flag.Parse()
-	for name, value := range map[string]string{"rapid.seed": "20261203", "rapid.nofailfile": "true"} {
+	given := map[string]bool{}
+	flag.Visit(func(f *flag.Flag) { given[f.Name] = true })
+	for name, value := range map[string]string{
+		"rapid.seed": "20261203", "rapid.checks": "300", "rapid.nofailfile": "true",
+	} {
+		if given[name] {
+			continue
+		}
 		if err := flag.Set(name, value); err != nil {
 			panic(err)
 		}
--- a/internal/config/sim_converge_test.go
+++ b/internal/config/sim_converge_test.go
@@ -13,6 +13,8 @@
 const (
 	// inForce bounds the time from a publication to its adoption by every host.
 	inForce = 3 * time.Second
+	// joiningBackoffCap bounds the time between platform reads of a joining host.
+	joiningBackoffCap = 4 * time.Second
 	// joinLimit bounds the time in which a host that joins a running fleet serves.
 	joinLimit = 2 * time.Second
 )
@@ -115,6 +117,30 @@
 	}
 }
 
+func TestFleetThatStartsInAnOutageDoesNotReadInStep(t *testing.T) {
+	const hosts, seconds = 430, 60
+	s := newSim(5, t.Fatalf)
+	s.refuses = true
+	version := s.publish(svc(1, 3, 1))
+	for range hosts {
+		s.addHost(7).cut = true
+	}
+	for _, h := range s.hosts {
+		h.boot()
+	}
+	s.run(seconds * time.Second)
+	for second := 10; second < seconds; second++ {
+		if s.calls[second] > hosts/2 {
+			t.Fatalf("%d calls in second %d of the outage: a herd", s.calls[second], second)
+		}
+	}
+	for _, h := range s.hosts {
+		h.cut = false
+	}
+	s.run(joiningBackoffCap + joinLimit)
+	s.expect(t, version, "after the outage")
+}
+
 func TestAnyLengthOfOutage(t *testing.T) {
 	s := newFleet(t, 1, 4, 3)
 	for _, h := range s.hosts {
--- a/internal/config/sim_test.go
+++ b/internal/config/sim_test.go
@@ -50,7 +50,9 @@
 	above config.Version
 	// loss is the share of peer messages that are lost.
 	loss float64
-	fail func(format string, args ...any)
+	// refuses makes every failed platform call fail at once.
+	refuses bool
+	fail    func(format string, args ...any)
 	// onAdopt, if set, is called for every adoption.
 	onAdopt func(*simHost, config.Version)
 }
@@ -105,6 +107,11 @@
 	}
 }
 
+// latency is the time of one message in one direction.
+func (s *sim) latency() time.Duration {
+	return oneWay + time.Duration(s.rng.Int64N(int64(2*time.Millisecond)))
+}
+
 func (s *sim) after(d time.Duration, run func()) {
 	s.seq++
 	heap.Push(&s.queue, simEvent{s.now.Add(d), s.seq, run})
@@ -233,7 +240,7 @@
 	}
 	value := h.reads().Get(config.HeadKey)
 	if a.Index == 0 || value.Index != a.Index {
-		h.sim.after(2*oneWay, h.deliver(config.PlatformRead{Head: value.Data, Index: value.Index}))
+		h.sim.after(2*h.sim.latency(), h.deliver(config.PlatformRead{Head: value.Data, Index: value.Index}))
 		return
 	}
 	h.wait(a.Index)
@@ -264,14 +271,14 @@
 func (s *sim) wakeWatches() {
 	for _, h := range s.hosts {
 		if h.waiting != nil && !h.cut && !h.deaf && h.stale == nil {
-			s.after(oneWay+time.Duration(s.rng.Int64N(int64(time.Millisecond))), h.waiting)
+			s.after(s.latency(), h.waiting)
 		}
 	}
 }
 
 // failureDelay is short for a refused connection and long for lost packets.
 func (s *sim) failureDelay() time.Duration {
-	if s.rng.IntN(2) == 0 {
+	if s.refuses || s.rng.IntN(2) == 0 {
 		return oneWay
 	}
 	return callDeadline
@@ -297,14 +304,14 @@
 		return
 	}
 	onFailure, incarnation := h.deliver(failed), h.self.Incarnation
-	h.sim.after(oneWay, func() {
+	h.sim.after(h.sim.latency(), func() {
 		if !peer.up || h.self.Incarnation != incarnation {
 			h.sim.after(peerDeadline, onFailure)
 			return
 		}
 		answer, bytes := serve(peer)
 		peer.sent(bytes)
-		h.sim.after(oneWay, h.deliver(answer))
+		h.sim.after(h.sim.latency(), h.deliver(answer))
 	})
 }
 
@@ -327,7 +334,7 @@
 func (h *simHost) notify(a config.Notify) {
 	h.sent(0)
 	if peer := h.sim.find(a.Peer); h.sim.reachable(h, peer) {
-		h.sim.after(oneWay, peer.deliver(config.Noticed{Peer: h.self.ID, Version: a.Version}))
+		h.sim.after(h.sim.latency(), peer.deliver(config.Noticed{Peer: h.self.ID, Version: a.Version}))
 	}
 }
 
@@ -383,7 +390,7 @@
 	}
 	key := config.AdoptedKey(h.self.ID)
 	h.sim.store.CompareAndSwap(key, data, h.sim.store.Get(key).Revision)
-	h.sim.after(2*oneWay, h.deliver(config.Confirmed{Version: a.Version}))
+	h.sim.after(2*oneWay, h.deliver(config.Confirmed(a)))
 }
 
 // publish publishes the services at once and returns the version.
--- a/internal/config/stateful_test.go
+++ b/internal/config/stateful_test.go
@@ -73,16 +73,12 @@
 	}
 	return map[string]func(*rapid.T){
 		"publish": change(func(*rapid.T) { m.publish() }),
-		"kill": change(func(t *rapid.T) {
+		"kill":    func(t *rapid.T) { m.kill(m.pick(t)) },
+		"replace": func(t *rapid.T) {
 			h := m.pick(t)
-			h.kill()
-			m.processFloor[h] = 0
-		}),
-		"boot": change(func(t *rapid.T) {
-			if h := m.pick(t); !h.up {
-				h.boot()
-			}
-		}),
+			m.kill(h)
+			h.boot()
+		},
 		"cut":       change(func(t *rapid.T) { m.pick(t).cut = true }),
 		"reconnect": change(func(t *rapid.T) { m.pick(t).cut = false }),
 		"deafen":    change(func(t *rapid.T) { m.pick(t).deaf = true }),
@@ -108,6 +104,11 @@
 	}
 }
 
+func (m *fleetMachine) kill(h *simHost) {
+	h.kill()
+	m.processFloor[h] = 0
+}
+
 // publish follows the remedy of a restored platform: a version above all adopted ones.
 func (m *fleetMachine) publish() {
 	m.weight++
