--- a/internal/flow/decide.go
+++ b/internal/flow/decide.go
@@ -69,6 +69,11 @@
 	if !d.table.ready {
 		return d.passToAny()
 	}
+	if d.slot.mode == plain && d.engine.isLeaving() {
+		if decision := d.passToAny(); decision.Verdict == PassOn {
+			return decision
+		}
+	}
 	d.record, d.found, d.confirmed = d.shard.touch(d.id, d.now, d.packet.Last, d.packet.First)
 	if d.found && !d.keeps() {
 		d.shard.remove(d.id)
@@ -120,7 +125,7 @@
 func (d *decider) decideAsOwner() Decision {
 	if d.found {
 		d.noteOwnerSeen()
-		return d.deliver(d.record.upstream, d.packet.First || d.confirmed)
+		return d.deliver(d.record.upstream, d.packet.First || d.confirmed && d.deviates(d.record.upstream))
 	}
 	switch d.slot.phase {
 	case collectingPlain, releasing:
@@ -153,14 +158,19 @@
 		return drop(NoUpstream)
 	}
 	d.insert(ref)
-	return d.deliver(ref, true)
+	return d.deliver(ref, d.packet.First || d.deviates(ref))
+}
+
+// deviates reports whether another host could not guess the flow's upstream
+// from a later packet.
+func (d *decider) deviates(ref upstreamRef) bool {
+	return ref != d.table.defaults[d.index] || d.packet.Key.Protocol == service.UDP
 }
 
-// deliver sends the packet to the upstream, by way of the backup when the
-// backup could not guess the upstream and may not know it yet.
-func (d *decider) deliver(ref upstreamRef, first bool) Decision {
-	deviates := ref != d.table.defaults[d.index] || d.packet.Key.Protocol == service.UDP
-	if first && deviates && d.engine.hostAlive(d.slot.backup) {
+// deliver sends the packet to the upstream, by way of the backup if the backup
+// has to know.
+func (d *decider) deliver(ref upstreamRef, record bool) Decision {
+	if record && d.engine.hostAlive(d.slot.backup) {
 		return d.passOn(d.slot.backup, RelayRecord, d.table.address(ref))
 	}
 	return d.forward(ref)
@@ -185,13 +195,14 @@
 	return d.forward(ref)
 }
 
-// passToAny leaves the packet to another member while this host learns the state.
+// passToAny leaves the packet to a member that stays: this host does not know
+// the state yet, or its records are about to be lost.
 func (d *decider) passToAny() Decision {
 	hosts := *d.engine.hosts.Load()
 	n := len(hosts)
 	for i := range n {
 		ref := hostRef((int(uint64(d.id)>>32) + int(d.packet.Relay.Hops) + i) % n)
-		if ref != selfRef && hosts[ref].alive() {
+		if ref != selfRef && hosts[ref].eligible() {
 			return d.passOn(ref, RelayDecide, netip.AddrPort{})
 		}
 	}
--- a/internal/flow/engine.go
+++ b/internal/flow/engine.go
@@ -126,6 +126,11 @@
 	return (*e.hosts.Load()).isAlive(ref)
 }
 
+// isLeaving reports whether this host hands over.
+func (e *Engine) isLeaving() bool {
+	return (*e.hosts.Load())[selfRef].leaving
+}
+
 func (e *Engine) hostEligible(ref hostRef) bool {
 	hosts := *e.hosts.Load()
 	return int(ref) < len(hosts) && hosts[ref].eligible()
--- a/internal/flow/sweep.go
+++ b/internal/flow/sweep.go
@@ -11,8 +11,9 @@
 	closingIdle seconds = 30
 	// loadsInterval is the interval at which loads are published anew.
 	loadsInterval = time.Second
-	// leaveGrace is the least time for which a leaving host goes on answering.
-	leaveGrace = 3 * time.Second
+	// leaveGrace is the least time for which a leaving host goes on answering: its
+	// own last records are then too old for their first packets to come again.
+	leaveGrace = (time.Duration(youngAge) + 1) * time.Second
 )
 
 // sweeper is the position of the sweep over the shards.
