Hand silent UDP flows over when a host leaves

Change: at the end of its grace time a leaving host gives the records of silent UDP flows to a member that stays and waits for its answer.

Conclusion: UDP needs records where TCP can guess.

--- a/internal/flow/engine.go
+++ b/internal/flow/engine.go
@@ -31,9 +31,11 @@
 	leaving      bool
 	leftAt       time.Time
 	left         bool
-	sweeper      sweeper
-	loadsAt      time.Time
-	stats        Stats
+	// handedOver is set once silent flows were given to another host.
+	handedOver bool
+	sweeper    sweeper
+	loadsAt    time.Time
+	stats      Stats
 }
 
 // New returns an engine that knows nothing yet.
--- a/internal/flow/round.go
+++ b/internal/flow/round.go
@@ -169,13 +169,15 @@
 	}
 }
 
-// activate lets the owner assign new flows in the round's slots.
+// activate lets the owner assign new flows in the slots that the round collected.
 func (e *Engine) activate(en *entry, r *round) {
 	e.edit(en, func(t *slotTable) {
 		for i := range r.slots.All {
 			s := t.edit(i)
-			s.phase, s.previous = active, noHost
-			en.quietSince[i] = e.nowSeconds()
+			if s.owner == selfRef && (s.phase == collectingPlain || s.phase == collectingTracked) {
+				s.phase, s.previous = active, noHost
+				en.quietSince[i] = e.nowSeconds()
+			}
 		}
 	})
 }
--- a/internal/flow/sweep.go
+++ b/internal/flow/sweep.go
@@ -11,9 +11,6 @@
 	closingIdle seconds = 30
 	// loadsInterval is the interval at which loads are published anew.
 	loadsInterval = time.Second
-	// leaveGrace is the least time for which a leaving host goes on answering: its
-	// own last records are then too old for their first packets to come again.
-	leaveGrace = (time.Duration(youngAge) + 1) * time.Second
 )
 
 // sweeper is the position of the sweep over the shards.
@@ -107,43 +104,3 @@
 		e.publishLoads(en)
 	}
 }
-
-// leave starts to hand everything over.
-func (e *Engine) leave() {
-	if e.leaving {
-		return
-	}
-	e.leaving, e.leftAt = true, e.now
-	e.setHosts(func(l hostList) hostList {
-		l[selfRef].leaving = true
-		return l
-	})
-	e.markAllDirty()
-}
-
-// finishLeaving reports once that the host owns nothing and has answered for long enough.
-func (e *Engine) finishLeaving() {
-	if !e.leaving || e.left || e.now.Sub(e.leftAt) < leaveGrace {
-		return
-	}
-	if len(e.peers()) > 0 && e.ownsSlots() {
-		return
-	}
-	e.left = true
-	e.actions = append(e.actions, Left{})
-}
-
-func (e *Engine) ownsSlots() bool {
-	for _, en := range e.entries() {
-		t := en.table.Load()
-		if t.slots == nil {
-			continue
-		}
-		for i := range t.slots {
-			if t.slots[i].mode == tracked && t.slots[i].owner == selfRef {
-				return true
-			}
-		}
-	}
-	return false
-}
--- a/internal/flow/transfer.go
+++ b/internal/flow/transfer.go
@@ -103,8 +103,14 @@
 			byBackup[backup] = append(byBackup[backup], rec)
 		}
 	}
+	return e.replicaMessages(en, r, byBackup)
+}
+
+// replicaMessages returns the messages that carry the records to each host.
+func (e *Engine) replicaMessages(en *entry, r *round, records map[hostRef][]Record) map[hostRef][]Message {
+	t := en.table.Load()
 	messages := make(map[hostRef][]Message)
-	for backup, list := range byBackup {
+	for backup, list := range records {
 		for part := 0; len(list) > 0; part++ {
 			n := min(len(list), MaxRecords)
 			messages[backup] = append(messages[backup], Message{
