--- a/internal/admission/scheduler.go
+++ b/internal/admission/scheduler.go
@@ -1,6 +1,7 @@
 package admission
 
 import (
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -25,6 +26,7 @@
 	options  Options
 	targets  []Target
 	inUse    map[string]int
+	pauses   map[string]pause
 	queue    []Request
 	estimate time.Duration
 }
@@ -34,6 +36,7 @@
 	return &Scheduler{
 		options:  options,
 		inUse:    make(map[string]int),
+		pauses:   make(map[string]pause),
 		estimate: options.InitialEstimate,
 	}
 }
@@ -43,8 +46,8 @@
 	if reason := s.unservable(now, r); reason != "" {
 		return Decision{ID: r.ID, Kind: Refused, Reason: reason}
 	}
-	if len(s.queue) == 0 || !s.queueServable() {
-		if name, ok := s.pick(r.Exclude); ok {
+	if len(s.queue) == 0 || !s.queueServable(now) {
+		if name, ok := s.pick(now, r.Exclude); ok {
 			return s.grant(r, name)
 		}
 	}
@@ -58,24 +61,60 @@
 	return Decision{ID: r.ID, Kind: Queued, GiveUp: r.Deadline.Add(-s.estimate)}
 }
 
-// Release returns a slot after the upstream was busy for a time. It is zero
-// when the upstream refused the request.
+// Release returns a slot after the upstream was busy for a time; it is zero
+// when nothing is known of the service time.
 func (s *Scheduler) Release(now time.Time, upstream string, busy time.Duration) []Decision {
-	if s.inUse[upstream] > 0 {
-		s.inUse[upstream]--
-	}
-	if s.inUse[upstream] == 0 {
-		delete(s.inUse, upstream)
+	s.free(upstream)
+	if busy > 0 {
+		s.Learn(busy)
+		delete(s.pauses, upstream)
 	}
+	return s.advance(now)
+}
+
+// Learn takes a service time into the mean.
+func (s *Scheduler) Learn(busy time.Duration) {
 	if busy > 0 {
 		s.estimate += time.Duration(estimateWeight * float64(busy-s.estimate))
 	}
+}
+
+// ReleaseRefused returns a slot of an upstream that refused the request, and
+// prefers other upstreams for a while that doubles with each refusal in a row.
+func (s *Scheduler) ReleaseRefused(now time.Time, upstream string) []Decision {
+	s.free(upstream)
+	length := min(maxPause, max(firstPause, 2*s.pauses[upstream].length))
+	s.pauses[upstream] = pause{until: now.Add(length), length: length}
 	return s.advance(now)
 }
 
+// Lend takes a free slot for another host, unless requests wait here. Release
+// returns it.
+func (s *Scheduler) Lend(now time.Time, exclude []string) (upstream string, ok bool) {
+	if len(s.queue) > 0 {
+		return "", false
+	}
+	upstream, ok = s.pick(now, exclude)
+	if ok {
+		s.inUse[upstream]++
+	}
+	return upstream, ok
+}
+
+func (s *Scheduler) free(upstream string) {
+	if s.inUse[upstream] <= 1 {
+		delete(s.inUse, upstream)
+		return
+	}
+	s.inUse[upstream]--
+}
+
 // Update replaces the upstreams; requests that run keep their slots.
 func (s *Scheduler) Update(now time.Time, targets []Target) []Decision {
 	s.targets = slices.Clone(targets)
+	maps.DeleteFunc(s.pauses, func(name string, _ pause) bool {
+		return !slices.ContainsFunc(targets, func(t Target) bool { return t.Name == name })
+	})
 	return s.advance(now)
 }
 
@@ -110,7 +149,7 @@
 			decisions = append(decisions, Decision{ID: r.ID, Kind: Refused, Reason: reason})
 			continue
 		}
-		if name, ok := s.pick(r.Exclude); ok {
+		if name, ok := s.pick(now, r.Exclude); ok {
 			decisions = append(decisions, s.grant(r, name))
 			continue
 		}
@@ -144,9 +183,9 @@
 }
 
 // queueServable says whether a free slot would serve the head of the queue.
-func (s *Scheduler) queueServable() bool {
+func (s *Scheduler) queueServable(now time.Time) bool {
 	for _, r := range s.queue {
-		if _, ok := s.pick(r.Exclude); ok {
+		if _, ok := s.pick(now, r.Exclude); ok {
 			return true
 		}
 	}
@@ -165,12 +204,13 @@
 	return s.estimate * time.Duration(ahead+1) / time.Duration(slots)
 }
 
-// pick chooses the upstream with the largest share of free slots, weighed by ramp.
-func (s *Scheduler) pick(exclude []string) (string, bool) {
-	best, bestScore := "", 0.0
+// pick chooses the upstream with the largest share of free slots, weighed by
+// ramp. Paused upstreams are chosen only when all usable ones are paused.
+func (s *Scheduler) pick(now time.Time, exclude []string) (string, bool) {
+	best, bestScore, allPaused := "", 0.0, s.allPaused(now, exclude)
 	for _, t := range s.targets {
 		free := t.Slots - s.inUse[t.Name]
-		if free <= 0 || slices.Contains(exclude, t.Name) {
+		if free <= 0 || slices.Contains(exclude, t.Name) || (!allPaused && s.paused(now, t)) {
 			continue
 		}
 		score := t.Ramp * float64(free) / float64(t.Slots) * (1 + s.options.Rand.Float64()/2)
@@ -181,6 +221,17 @@
 	return best, best != ""
 }
 
+func (s *Scheduler) allPaused(now time.Time, exclude []string) bool {
+	for _, t := range s.targets {
+		if t.Slots > 0 && !slices.Contains(exclude, t.Name) && !s.paused(now, t) {
+			return false
+		}
+	}
+	return true
+}
+
+func (s *Scheduler) paused(now time.Time, t Target) bool { return now.Before(s.pauses[t.Name].until) }
+
 func (s *Scheduler) grant(r Request, upstream string) Decision {
 	s.inUse[upstream]++
 	return Decision{ID: r.ID, Kind: Granted, Upstream: upstream}
--- /dev/null
+++ b/internal/dispatch/bench_test.go
@@ -0,0 +1,178 @@
+package dispatch_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"github.com/oatlatch/oatlatch/callers"
+	"github.com/oatlatch/oatlatch/internal/dispatch"
+)
+
+// latencies records times in microseconds from several goroutines.
+type latencies struct {
+	mu        sync.Mutex
+	histogram *hdrhistogram.Histogram
+}
+
+func newLatencies() *latencies {
+	return &latencies{histogram: hdrhistogram.New(1, int64(time.Minute/time.Microsecond), 3)}
+}
+
+func (l *latencies) add(d time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	_ = l.histogram.RecordValue(d.Microseconds())
+}
+
+func (l *latencies) report(b *testing.B, name string) (p50, p99 float64) {
+	p50, p99 = float64(l.histogram.ValueAtQuantile(50)), float64(l.histogram.ValueAtQuantile(99))
+	b.ReportMetric(p50, name+"-p50-µs")
+	b.ReportMetric(p99, name+"-p99-µs")
+	return p50, p99
+}
+
+// cpuTime returns the processor time that the process has used.
+func cpuTime() time.Duration {
+	var usage syscall.Rusage
+	_ = syscall.Getrusage(syscall.RUSAGE_SELF, &usage)
+	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
+}
+
+// BenchmarkOverhead compares requests through a host with direct calls to the
+// same stand-in, alternating in one run.
+func BenchmarkOverhead(b *testing.B) {
+	for _, method := range []string{http.MethodGet, http.MethodPost} {
+		for _, work := range []time.Duration{0, 5 * time.Millisecond} {
+			b.Run(fmt.Sprintf("%s/work=%v", method, work), func(b *testing.B) { benchmarkOverhead(b, method, work) })
+		}
+	}
+}
+
+func benchmarkOverhead(b *testing.B, method string, work time.Duration) {
+	c := newCluster(b, clusterOptions{hosts: 1, upstreams: 1, slots: 16, work: work, queue: 100})
+	transport := &http.Transport{MaxIdleConnsPerHost: 16}
+	b.Cleanup(transport.CloseIdleConnections)
+	ticket := ""
+	call := func(address string, record *latencies) {
+		request, _ := http.NewRequest(method, "http://"+address+"/x", nil)
+		request.Host = requestHost
+		request.Header.Set(dispatch.HeaderTicket, ticket)
+		began := time.Now()
+		resp, err := transport.RoundTrip(request)
+		if err != nil {
+			b.Fatal(err)
+		}
+		_, _ = io.Copy(io.Discard, resp.Body)
+		resp.Body.Close()
+		if record != nil {
+			record.add(time.Since(began))
+		}
+		if fresh := resp.Header.Get(dispatch.HeaderTicket); fresh != "" {
+			ticket = fresh
+		}
+	}
+	host, target := c.node("entry-0").address, c.upstreams[0].HTTPAddr().String()
+	for range 200 {
+		call(host, nil)
+		call(target, nil)
+	}
+	direct, through := newLatencies(), newLatencies()
+	for b.Loop() {
+		call(target, direct)
+		call(host, through)
+	}
+	d50, d99 := direct.report(b, "direct")
+	t50, t99 := through.report(b, "through")
+	b.ReportMetric(t50/d50, "p50-ratio")
+	b.ReportMetric(t99/d99, "p99-ratio")
+}
+
+// BenchmarkThroughput reports requests for each second of processor time, which
+// the caller and the stand-in in the same process use too.
+func BenchmarkThroughput(b *testing.B) {
+	c := newCluster(b, clusterOptions{hosts: 1, upstreams: 4, slots: 16, queue: 1000})
+	transport := &http.Transport{MaxIdleConnsPerHost: 64}
+	b.Cleanup(transport.CloseIdleConnections)
+	for name, address := range map[string]string{"direct": c.upstreams[0].HTTPAddr().String(), "through": c.node("entry-0").address} {
+		b.Run(name, func(b *testing.B) {
+			before := cpuTime()
+			b.SetParallelism(2)
+			b.RunParallel(func(pb *testing.PB) {
+				for pb.Next() {
+					request, _ := http.NewRequest(http.MethodGet, "http://"+address+"/x", nil)
+					request.Host = requestHost
+					resp, err := transport.RoundTrip(request)
+					if err != nil {
+						b.Error(err)
+						return
+					}
+					_, _ = io.Copy(io.Discard, resp.Body)
+					resp.Body.Close()
+				}
+			})
+			b.ReportMetric(float64(b.N)/(cpuTime()-before).Seconds(), "requests/cpu-s")
+		})
+	}
+}
+
+// BenchmarkOverload offers once and twice the capacity in an open loop and
+// reports the goodput as a fraction of the capacity.
+func BenchmarkOverload(b *testing.B) {
+	for _, load := range []float64{0.8, 1, 2} {
+		b.Run(fmt.Sprintf("load=%.1f", load), func(b *testing.B) { benchmarkOverload(b, load) })
+	}
+}
+
+func benchmarkOverload(b *testing.B, load float64) {
+	const (
+		work     = 20 * time.Millisecond
+		slots    = 3 * 4
+		deadline = 250 * time.Millisecond
+		length   = 4 * time.Second
+	)
+	c := newCluster(b, clusterOptions{hosts: 5, upstreams: 4, slots: 3, work: work, queue: 1000})
+	clients := make([]*callers.Client, 5)
+	for i, address := range c.addresses() {
+		clients[i] = callers.New(callers.Options{Hosts: []string{address}, RequestHost: requestHost})
+	}
+	source := rand.New(rand.NewPCG(1, 2))
+	capacity := float64(slots) / work.Seconds()
+	answered, refused := newLatencies(), newLatencies()
+	var group sync.WaitGroup
+	for b.Loop() {
+		began := time.Now()
+		for next := time.Duration(0); next < length; next += time.Duration(source.ExpFloat64() / (load * capacity) * float64(time.Second)) {
+			time.Sleep(time.Until(began.Add(next)))
+			client := clients[source.IntN(len(clients))]
+			group.Go(func() {
+				sent := time.Now()
+				_, err := client.Do(context.Background(), callers.Request{Method: http.MethodGet, Path: "/plan", Deadline: deadline})
+				if err == nil {
+					answered.add(time.Since(sent))
+				} else {
+					refused.add(time.Since(sent))
+				}
+			})
+		}
+		group.Wait()
+	}
+	total := capacity * length.Seconds() * float64(b.N)
+	b.ReportMetric(float64(answered.histogram.TotalCount())/total, "goodput")
+	b.ReportMetric(float64(refused.histogram.TotalCount())/total, "refused")
+	answered.report(b, "answered")
+	refused.report(b, "refused")
+	peak := 0
+	for _, u := range c.upstreams {
+		peak = max(peak, u.Peak())
+	}
+	b.ReportMetric(float64(peak), "peak-at-upstream")
+}
--- a/internal/dispatch/cluster_test.go
+++ b/internal/dispatch/cluster_test.go
@@ -42,6 +42,7 @@
 	cuts    map[[2]host.ID]bool
 	lose    map[host.ID]bool
 	counter uint64
+	hidden  bool
 }
 
 // node is one entry host of a cluster.
@@ -191,6 +192,9 @@
 	var view membership.View
 	var nodes []*node
 	for _, n := range c.nodes {
+		if c.hidden {
+			continue
+		}
 		nodes = append(nodes, n)
 		view.Members = append(view.Members, membership.Member{Host: n.self, State: membership.Live})
 	}
@@ -203,6 +207,13 @@
 	}
 }
 
+// hideViews keeps membership views from the hosts.
+func (c *cluster) hideViews(on bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.hidden = on
+}
+
 func (c *cluster) cut(a, b host.ID, on bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -17,7 +17,7 @@
 )
 
 // sweepInterval is how often old results are dropped.
-const sweepInterval = 10 * time.Second
+const sweepInterval = time.Second
 
 // routing is the immutable outcome of the last configuration.
 type routing struct {
@@ -39,11 +39,18 @@
 	mu       sync.Mutex
 	snapshot *config.Snapshot
 	members  membership.View
+	// viewed is closed with the first view of the hosts.
+	viewed   chan struct{}
+	sawView  func()
 	states   map[upstreamKey]health.Upstream
 	keys     ticket.Keyring
 	books    map[host.Incarnation]*book
 	incoming map[host.Incarnation]*ticket.Transfer
 	draining bool
+
+	loans loanBook
+	// background counts the calls that outlive their request.
+	background sync.WaitGroup
 }
 
 // New returns a dispatcher that refuses requests until it adopts a configuration.
@@ -53,16 +60,19 @@
 		options:  options,
 		limits:   limits,
 		metrics:  newMetrics(options.Registerer),
-		sender:   newExchanger(limits),
+		sender:   newExchanger(limits, options.Now),
 		states:   make(map[upstreamKey]health.Upstream),
+		viewed:   make(chan struct{}),
 		books:    make(map[host.Incarnation]*book),
 		incoming: make(map[host.Incarnation]*ticket.Transfer),
 	}
+	d.sawView = sync.OnceFunc(func() { close(d.viewed) })
 	bounds := d.ledgerBounds()
 	bounds.Issuer = options.Self.ID
 	bounds.Incarnation = options.Self.Incarnation
 	d.own = newBook(ticket.NewLedger(bounds))
 	d.books[options.Self.Incarnation] = d.own
+	d.loans.open = make(map[loanKey]loan)
 	return d
 }
 
@@ -109,10 +119,14 @@
 	return newLane(d.options.Now, d.options.Seed+uint64(id), d.limits)
 }
 
-// SetMembers takes over the hosts that share the upstreams.
+// SetMembers takes over the hosts that share the upstreams. Tickets of other
+// hosts wait for the first view.
 func (d *Dispatcher) SetMembers(view membership.View) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	if len(view.Members) > 0 {
+		d.sawView()
+	}
 	d.members = view
 	d.share(d.routes.Load())
 }
@@ -135,7 +149,7 @@
 	}
 	hosts := sharing(d.options.Self.ID, d.members)
 	for _, r := range routes.byID {
-		r.lane.update(r.targets(d.options.Self.ID, hosts, d.states))
+		r.lane.update(r.targets(d.options.Self.ID, hosts, d.states), r.lenders(d.options.Self.ID, hosts))
 	}
 }
 
@@ -144,6 +158,7 @@
 	ticker := time.NewTicker(sweepInterval)
 	defer ticker.Stop()
 	defer d.sender.close()
+	defer d.background.Wait()
 	for {
 		select {
 		case <-ctx.Done():
@@ -159,6 +174,8 @@
 	for _, b := range d.allBooks() {
 		b.sweep(now)
 	}
+	d.loans.sweep(now)
+	d.sender.pool.sweep()
 }
 
 func (d *Dispatcher) allBooks() []*book {
--- a/internal/dispatch/exchange.go
+++ b/internal/dispatch/exchange.go
@@ -3,9 +3,9 @@
 import (
 	"bytes"
 	"context"
-	"errors"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"net/netip"
@@ -18,50 +18,24 @@
 // shedStatus is the status by which an upstream says that it refused a request before running it.
 const shedStatus = http.StatusTooManyRequests
 
-// exchanger sends requests to upstreams.
-type exchanger struct {
-	// pooled reuses connections and serves idempotent requests only.
-	pooled *http.Transport
-	// single opens a connection for each request, so that nothing is sent twice.
-	single *http.Transport
-}
+// asideBytes is the size from which a body is written beside reading the answer,
+// because an upstream may answer before it has read all of it.
+const asideBytes = 16 << 10
 
-func newExchanger(limits Limits) *exchanger {
-	dialer := &net.Dialer{Timeout: limits.DialTimeout}
-	pooled := &http.Transport{
-		DialContext:            dialer.DialContext,
-		MaxResponseHeaderBytes: int64(limits.MaxHeaderBytes),
-		MaxIdleConnsPerHost:    maxIdlePerUpstream,
-		IdleConnTimeout:        idleUpstreamTimeout,
-		DisableCompression:     true,
-	}
-	single := &http.Transport{
-		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
-			return dialTracked(ctx, dialer, network, address)
-		},
-		MaxResponseHeaderBytes: int64(limits.MaxHeaderBytes),
-		DisableKeepAlives:      true,
-		DisableCompression:     true,
-	}
-	return &exchanger{pooled: pooled, single: single}
+// exchanger sends requests to upstreams. It works on connections of its own
+// instead of an http.Transport, which sends some requests again by itself.
+type exchanger struct {
+	dialer         net.Dialer
+	maxHeaderBytes int
+	pool           *connPool
 }
 
-// Limits of idle connections to upstreams.
-const (
-	maxIdlePerUpstream  = 16
-	idleUpstreamTimeout = 30 * time.Second
-)
-
-func dialTracked(ctx context.Context, dialer *net.Dialer, network, address string) (net.Conn, error) {
-	tracked, ok := ctx.Value(attemptKey{}).(*attempt)
-	if !ok {
-		return nil, errors.New("dispatch: dial without an attempt: use exchanger.sendOnce")
-	}
-	conn, err := dialer.DialContext(ctx, network, address)
-	if err != nil {
-		return nil, err
+func newExchanger(limits Limits, now func() time.Time) *exchanger {
+	return &exchanger{
+		dialer:         net.Dialer{Timeout: limits.DialTimeout},
+		maxHeaderBytes: limits.MaxHeaderBytes,
+		pool:           newConnPool(now),
 	}
-	return tracked.track(conn), nil
 }
 
 // outbound is a request as it goes to an upstream.
@@ -74,45 +48,132 @@
 	requestID string
 }
 
-// sendOnce sends a non-idempotent request on a connection of its own. wrote says
-// whether any byte of it may have reached the upstream.
+// sendOnce sends a non-idempotent request on a connection that has carried no
+// other one and will carry no other one. wrote says whether any byte of it may have reached the upstream; none is written after
+// the return.
 func (e *exchanger) sendOnce(ctx context.Context, to netip.AddrPort, out outbound, left time.Duration) (resp *http.Response, wrote bool, err error) {
-	tracked := &attempt{}
-	ctx = context.WithValue(ctx, attemptKey{}, tracked)
 	request, err := out.build(ctx, to, left)
 	if err != nil {
 		return nil, false, err
 	}
-	resp, err = e.single.RoundTrip(request)
-	return resp, tracked.end(), err
+	request.Close = true
+	conn := e.pool.takeUnused(to)
+	if conn == nil {
+		if conn, err = e.dial(ctx, to); err != nil {
+			return nil, false, err
+		}
+	}
+	return e.exchange(ctx, to, conn, request, out.body)
+}
+
+// prepare opens a connection for the next non-idempotent request.
+func (e *exchanger) prepare(to netip.AddrPort) {
+	if e.pool.hasUnused(to) {
+		return
+	}
+	if conn, err := e.dial(context.Background(), to); err == nil {
+		e.pool.putUnused(to, conn)
+	}
 }
 
-// send sends an idempotent request, on a reused connection if there is one.
+// send sends an idempotent request, on an idle connection if there is one.
 func (e *exchanger) send(ctx context.Context, to netip.AddrPort, out outbound, left time.Duration) (*http.Response, error) {
 	request, err := out.build(ctx, to, left)
 	if err != nil {
 		return nil, err
 	}
-	return e.pooled.RoundTrip(request)
+	conn := e.pool.take(to)
+	if conn == nil {
+		if conn, err = e.dial(ctx, to); err != nil {
+			return nil, err
+		}
+	}
+	resp, _, err := e.exchange(ctx, to, conn, request, nil)
+	return resp, err
 }
 
-func (e *exchanger) close() {
-	e.pooled.CloseIdleConnections()
-	e.single.CloseIdleConnections()
+func (e *exchanger) dial(ctx context.Context, to netip.AddrPort) (*upstreamConn, error) {
+	conn, err := e.dialer.DialContext(ctx, "tcp", to.String())
+	if err != nil {
+		return nil, err
+	}
+	return newUpstreamConn(conn), nil
+}
+
+// exchange writes the request once and reads the header of the answer. Closing
+// the answer's body ends the exchange; the end of ctx closes the connection.
+func (e *exchanger) exchange(ctx context.Context, to netip.AddrPort, conn *upstreamConn, request *http.Request, body []byte) (resp *http.Response, wrote bool, err error) {
+	conn.wrote, conn.limited, conn.headerLeft = false, true, e.maxHeaderBytes
+	release := context.AfterFunc(ctx, func() { conn.Close() })
+	written := make(chan error, 1)
+	if len(body) < asideBytes {
+		written <- writeRequest(conn, request)
+	} else {
+		go func() { written <- writeRequest(conn, request) }()
+	}
+	resp, err = readAnswer(conn, request)
+	if err != nil {
+		conn.Close()
+		<-written
+		release()
+		return nil, conn.wrote, err
+	}
+	conn.limited = false
+	resp.Body = &answerBody{ReadCloser: resp.Body, end: func(ended bool) {
+		reusable := release() && ended && !resp.Close && !request.Close && conn.reader.Buffered() == 0
+		if !reusable {
+			conn.Close()
+		}
+		if <-written == nil && reusable {
+			e.pool.put(to, conn)
+		} else if reusable {
+			conn.Close()
+		}
+	}}
+	return resp, true, nil
 }
 
-// build makes the request. Its body cannot be rewound, so that the transport
-// has no way to send it again by itself, whatever the method.
+func writeRequest(conn *upstreamConn, request *http.Request) error {
+	if err := request.Write(conn.writer); err != nil {
+		return err
+	}
+	return conn.writer.Flush()
+}
+
+// readAnswer reads the header of the final answer, past interim ones.
+func readAnswer(conn *upstreamConn, request *http.Request) (*http.Response, error) {
+	for {
+		resp, err := http.ReadResponse(conn.reader, request)
+		if err != nil {
+			return nil, err
+		}
+		if resp.StatusCode == http.StatusSwitchingProtocols {
+			return nil, fmt.Errorf("dispatch: the upstream switched protocols: it must answer in HTTP")
+		}
+		if resp.StatusCode >= http.StatusOK {
+			return resp, nil
+		}
+	}
+}
+
+func (e *exchanger) close() { e.pool.close() }
+
+// build makes the request for one exchange.
 func (o outbound) build(ctx context.Context, to netip.AddrPort, left time.Duration) (*http.Request, error) {
-	body := io.NopCloser(bytes.NewReader(o.body))
+	var body io.Reader
+	if len(o.body) > 0 {
+		body = bytes.NewReader(o.body)
+	}
 	request, err := http.NewRequestWithContext(ctx, o.method, "http://"+to.String()+o.path, body)
 	if err != nil {
 		return nil, fmt.Errorf("dispatch: the request's path cannot be sent on: correct it: %w", err)
 	}
 	request.Host = o.host
-	request.Header = o.header.Clone()
-	request.ContentLength = int64(len(o.body))
-	request.Header.Set(HeaderRequestID, o.requestID)
+	request.Header = maps.Clone(o.header)
+	if request.Header.Get("User-Agent") == "" {
+		request.Header["User-Agent"] = []string{""}
+	}
+	request.Header[HeaderRequestID] = []string{o.requestID}
 	setDeadline(request.Header, left)
 	return request, nil
 }
@@ -130,7 +191,7 @@
 
 // framed says whether the end of the answer's body can be told from a cut.
 func framed(resp *http.Response) bool {
-	return resp.ContentLength >= 0 || slices.Contains(resp.TransferEncoding, "chunked") || resp.ProtoMajor >= 2
+	return resp.ContentLength >= 0 || slices.Contains(resp.TransferEncoding, "chunked")
 }
 
 // readWhole reads an answer of at most limit bytes.
--- a/internal/dispatch/handler.go
+++ b/internal/dispatch/handler.go
@@ -138,6 +138,7 @@
 	c.limitWrite()
 	c.w.WriteHeader(status)
 	_, _ = c.w.Write(body)
+	_ = http.NewResponseController(c.w).Flush()
 	c.count(result.Outcome, result.Reason)
 }
 
--- a/internal/dispatch/headers.go
+++ b/internal/dispatch/headers.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"maps"
 	"net/http"
 	"net/textproto"
 	"strconv"
@@ -27,9 +28,10 @@
 // ownHeaders are set by hosts and never passed through from either side.
 var ownHeaders = []string{HeaderDeadline, HeaderTicket, HeaderOutcome, HeaderReason, HeaderRequestID}
 
-// forwarded returns the header fields that go to the next hop.
+// forwarded returns the header fields that go to the next hop. It shares the
+// values with its argument.
 func forwarded(in http.Header) http.Header {
-	out := in.Clone()
+	out := maps.Clone(in)
 	for _, line := range in.Values("Connection") {
 		for name := range strings.SplitSeq(line, ",") {
 			out.Del(textproto.TrimString(name))
@@ -60,8 +62,11 @@
 	return now.Add(min(time.Duration(ms)*time.Millisecond, l.MaxDeadline)), true
 }
 
+// minLeft is the least time that must be left for a request to be sent on.
+const minLeft = time.Millisecond
+
 func setDeadline(h http.Header, left time.Duration) {
-	h.Set(HeaderDeadline, strconv.FormatInt(max(1, left.Milliseconds()), 10))
+	h.Set(HeaderDeadline, strconv.FormatInt(left.Milliseconds(), 10))
 }
 
 // idempotent says whether a method may be run more than once.
--- a/internal/dispatch/holder_test.go
+++ b/internal/dispatch/holder_test.go
@@ -83,3 +83,24 @@
 		t.Fatalf("afterwards: %s, runs %d", outcomeOf(resp), c.runs()["c"])
 	}
 }
+
+// TestTicketWaitsForTheFirstView covers a host that takes requests before it
+// knows its peers: it called live issuers' tickets void (found by
+// TestRollingRestartsLeaveNothingUnknown with seed 5).
+func TestTicketWaitsForTheFirstView(t *testing.T) {
+	c := newCluster(t, clusterOptions{hosts: 1, upstreams: 1, slots: 3})
+	ticket := freshTicket(t, c.node("entry-0"))
+	c.hideViews(true)
+	n := c.start("entry-1")
+	done := make(chan string, 1)
+	go func() {
+		resp, _ := post(t, n, ticket, "early")
+		done <- outcomeOf(resp)
+	}()
+	gomega.NewWithT(t).Eventually(func() int { return n.dispatcher.Status().InProgress }).Should(gomega.Equal(1))
+	c.hideViews(false)
+	c.publishView()
+	if got := <-done; got != "answered/ok" {
+		t.Errorf("got %s", got)
+	}
+}
--- a/internal/dispatch/idempotent.go
+++ b/internal/dispatch/idempotent.go
@@ -4,9 +4,10 @@
 	"context"
 	"errors"
 	"io"
+	"maps"
 	"net/http"
 	"strconv"
-	"time"
+	"sync"
 
 	"github.com/oatlatch/oatlatch/internal/admission"
 )
@@ -21,6 +22,9 @@
 	copyBytes = 32 << 10
 )
 
+// heads holds buffers for the heads of answers.
+var heads = sync.Pool{New: func() any { return new([headBytes]byte) }}
+
 // failure is why an attempt did not bring an answer.
 type failure struct {
 	outcome admission.Outcome
@@ -37,12 +41,12 @@
 	var exclude []string
 	last := failure{outcome: admission.NotRun}
 	for n := 1; ; n++ {
-		upstream, reason := c.route.lane.acquire(ctx, c.deadline, exclude)
+		slot, reason := c.d.acquire(ctx, c.route, c.deadline, exclude)
 		if reason != "" {
 			c.refuse(last, reason)
 			return
 		}
-		failed := c.attempt(ctx, upstream)
+		failed := c.attempt(ctx, slot)
 		if failed == nil {
 			return
 		}
@@ -56,7 +60,7 @@
 		}
 		c.d.metrics.retry(last.reason)
 		if last.outcome == admission.NotRun {
-			exclude = append(exclude, upstream)
+			exclude = append(exclude, slot.upstream)
 		}
 	}
 }
@@ -82,38 +86,51 @@
 
 // attempt runs the request at an upstream and passes the answer on. It returns
 // nil when the caller has been answered, whole or visibly cut.
-func (c *call) attempt(ctx context.Context, upstream string) *failure {
+func (c *call) attempt(ctx context.Context, slot grant) *failure {
 	began := c.d.options.Now()
-	ran := false
-	defer func() {
-		busy := time.Duration(0)
-		if ran {
-			busy = c.d.options.Now().Sub(began)
-		}
-		c.route.lane.release(upstream, busy)
-	}()
+	left := c.deadline.Sub(began)
+	if left < minLeft {
+		c.d.release(c.route, slot, 0, false)
+		return &failure{outcome: admission.NotRun, reason: admission.ReasonDeadline, final: true}
+	}
 	out := c.outbound()
-	resp, err := c.d.sender.send(ctx, c.route.addresses[upstream], out, c.deadline.Sub(began))
+	resp, err := c.d.sender.send(ctx, c.route.addresses[slot.upstream], out, left)
 	if err != nil {
+		c.d.release(c.route, slot, 0, false)
 		return &failure{outcome: admission.Unknown, reason: admission.ReasonUpstreamReset}
 	}
-	defer resp.Body.Close()
+	release := sync.OnceFunc(func() {
+		resp.Body.Close()
+		c.d.release(c.route, slot, c.d.options.Now().Sub(began), false)
+	})
+	if refusedBeforeRun(resp) && !crossed(resp, out) {
+		resp.Body.Close()
+		c.d.release(c.route, slot, 0, true)
+		return &failure{outcome: admission.NotRun, reason: admission.ReasonUpstreamShed}
+	}
+	defer release()
+	return c.passWhole(resp, out, release)
+}
+
+// passWhole passes the answer on if it is the request's own and its end can be
+// told. The slot is released as soon as the answer has been read.
+func (c *call) passWhole(resp *http.Response, out outbound, release func()) *failure {
 	if crossed(resp, out) {
 		return &failure{outcome: admission.Unknown, reason: admission.ReasonAnswerCrossed}
 	}
-	if refusedBeforeRun(resp) {
-		return &failure{outcome: admission.NotRun, reason: admission.ReasonUpstreamShed}
-	}
-	ran = true
 	if c.r.Method != http.MethodHead && !framed(resp) {
 		return &failure{outcome: admission.Unknown, reason: admission.ReasonAnswerUnframed, final: true}
 	}
-	head := make([]byte, headBytes)
-	n, err := readHead(resp.Body, head)
+	buffer := heads.Get().(*[headBytes]byte)
+	defer heads.Put(buffer)
+	n, err := readHead(resp.Body, buffer[:])
 	if err != nil && err != io.EOF {
 		return &failure{outcome: admission.Unknown, reason: admission.ReasonAnswerTruncated}
 	}
-	c.pass(resp, head[:n])
+	if err == io.EOF {
+		release()
+	}
+	c.pass(resp, buffer, n, err == io.EOF)
 	return nil
 }
 
@@ -141,30 +158,31 @@
 	}
 }
 
-// pass sends the upstream's answer to the caller. An answer that breaks off is
-// cut for the caller too, so that it cannot be taken for whole.
-func (c *call) pass(resp *http.Response, head []byte) {
+// pass sends the upstream's answer to the caller: the head in the buffer, and
+// the rest unless it is whole. An answer that breaks off is cut for the caller
+// too, so that it cannot be taken for whole.
+func (c *call) pass(resp *http.Response, buffer *[headBytes]byte, n int, whole bool) {
 	header := c.w.Header()
-	for name, values := range forwarded(resp.Header) {
-		header[name] = values
-	}
+	maps.Copy(header, forwarded(resp.Header))
 	if resp.ContentLength >= 0 {
 		header.Set("Content-Length", strconv.FormatInt(resp.ContentLength, 10))
 	}
 	c.setOutcome(admission.Answered, admission.ReasonOK)
 	c.limitWrite()
 	c.w.WriteHeader(resp.StatusCode)
-	if _, err := c.w.Write(head); err != nil && c.r.Method != http.MethodHead {
+	if _, err := c.w.Write(buffer[:n]); err != nil && c.r.Method != http.MethodHead {
 		c.cut(admission.ReasonCancelled)
 	}
-	if len(head) == headBytes {
-		c.stream(resp.Body)
+	if !whole {
+		c.stream(resp.Body, buffer[:])
 	}
+	_ = http.NewResponseController(c.w).Flush()
 	c.count(admission.Answered, admission.ReasonOK)
 }
 
-func (c *call) stream(body io.Reader) {
-	part := make([]byte, copyBytes)
+// stream passes the rest of the body on through the buffer.
+func (c *call) stream(body io.Reader, buffer []byte) {
+	part := buffer[:copyBytes]
 	for {
 		n, err := body.Read(part)
 		if n > 0 {
--- a/internal/dispatch/lane.go
+++ b/internal/dispatch/lane.go
@@ -1,12 +1,12 @@
 package dispatch
 
 import (
-	"context"
 	"math/rand/v2"
 	"sync"
 	"time"
 
 	"github.com/oatlatch/oatlatch/internal/admission"
+	"github.com/oatlatch/oatlatch/internal/host"
 	"github.com/oatlatch/oatlatch/internal/limit"
 )
 
@@ -23,6 +23,15 @@
 	budget    *limit.Budget
 	waiters   map[uint64]chan admission.Decision
 	nextID    uint64
+
+	lenders []host.ID
+	rand    *rand.Rand
+	// borrowers counts requests that wait for a loan without being queued.
+	borrowers int
+	// borrowing is set while a loan is asked for beside the queue.
+	borrowing   bool
+	borrowAfter time.Time
+	borrowPause time.Duration
 }
 
 func newLane(now func() time.Time, seed uint64, limits Limits) *lane {
@@ -35,18 +44,10 @@
 		}),
 		budget:  limit.NewBudget(limits.RetryRatio),
 		waiters: make(map[uint64]chan admission.Decision),
+		rand:    rand.New(rand.NewPCG(seed, 1)),
 	}
 }
 
-// acquire waits for a slot and returns its upstream, or why there is none.
-func (l *lane) acquire(ctx context.Context, deadline time.Time, exclude []string) (string, admission.Reason) {
-	decision, wait := l.submit(deadline, exclude)
-	if decision.Kind == admission.Queued {
-		decision = l.await(ctx, decision, wait)
-	}
-	return decision.Upstream, decision.Reason
-}
-
 func (l *lane) submit(deadline time.Time, exclude []string) (admission.Decision, chan admission.Decision) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -61,20 +62,6 @@
 	return decision, wait
 }
 
-// await waits until a queued request is decided, gives up or is cancelled.
-func (l *lane) await(ctx context.Context, queued admission.Decision, wait chan admission.Decision) admission.Decision {
-	timer := time.NewTimer(queued.GiveUp.Sub(l.now()))
-	defer timer.Stop()
-	select {
-	case decision := <-wait:
-		return decision
-	case <-timer.C:
-		return l.withdraw(queued.ID, wait, admission.ReasonDeadlineInQueue)
-	case <-ctx.Done():
-		return l.withdraw(queued.ID, wait, admission.ReasonCancelled)
-	}
-}
-
 // withdraw removes a request from the queue unless it was decided meanwhile; a
 // slot granted too late is used, or released by the caller.
 func (l *lane) withdraw(id uint64, wait chan admission.Decision, reason admission.Reason) admission.Decision {
@@ -87,16 +74,29 @@
 	return admission.Decision{ID: id, Kind: admission.Refused, Reason: reason}
 }
 
-// release returns a slot; busy is zero when the upstream did not run the request.
-func (l *lane) release(upstream string, busy time.Duration) {
+// cancel removes a request from the queue and says whether it was still there.
+func (l *lane) cancel(id uint64) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	delete(l.waiters, id)
+	return l.scheduler.Cancel(id)
+}
+
+// release returns a slot; busy is zero when the service time is not known.
+func (l *lane) release(upstream string, busy time.Duration, refused bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if refused {
+		l.wake(l.scheduler.ReleaseRefused(l.now(), upstream))
+		return
+	}
 	l.wake(l.scheduler.Release(l.now(), upstream, busy))
 }
 
-func (l *lane) update(targets []admission.Target) {
+func (l *lane) update(targets []admission.Target, lenders []host.ID) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.lenders = lenders
 	l.wake(l.scheduler.Update(l.now(), targets))
 }
 
--- a/internal/dispatch/metrics.go
+++ b/internal/dispatch/metrics.go
@@ -21,6 +21,7 @@
 	outcomes   *prometheus.CounterVec
 	retries    *prometheus.CounterVec
 	relays     *prometheus.CounterVec
+	loans      *prometheus.CounterVec
 	inProgress prometheus.Gauge
 	seconds    *prometheus.HistogramVec
 
@@ -45,6 +46,10 @@
 			Name: "oatlatch_request_relays_total",
 			Help: "Requests relayed to the host that holds their ticket, by result.",
 		}, []string{"result"}),
+		loans: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "oatlatch_request_slot_loans_total",
+			Help: "Slots of other hosts asked for, by result.",
+		}, []string{"result"}),
 		inProgress: prometheus.NewGauge(prometheus.GaugeOpts{
 			Name: "oatlatch_requests_in_progress",
 			Help: "Requests that callers of this host wait for.",
@@ -58,7 +63,7 @@
 		retryCounts:   make(map[admission.Reason]uint64),
 	}
 	if registerer != nil {
-		registerer.MustRegister(m.outcomes, m.retries, m.relays, m.inProgress, m.seconds)
+		registerer.MustRegister(m.outcomes, m.retries, m.relays, m.loans, m.inProgress, m.seconds)
 	}
 	return m
 }
--- a/internal/dispatch/once.go
+++ b/internal/dispatch/once.go
@@ -67,37 +67,44 @@
 	var exclude []string
 	last := admission.Reason("")
 	for n := 1; ; n++ {
-		upstream, reason := r.lane.acquire(ctx, j.deadline, exclude)
+		slot, reason := d.acquire(ctx, r, j.deadline, exclude)
 		if reason != "" {
 			if last != "" {
 				reason = last
 			}
 			return notRun(reason)
 		}
-		result := d.runAt(r, upstream, t, j)
+		result := d.runAt(r, slot, t, j)
 		if result.Outcome != admission.NotRun || n == maxAttempts || ctx.Err() != nil || !r.lane.takeRetry() {
 			return result
 		}
 		last = result.Reason
 		d.metrics.retry(last)
-		exclude = append(exclude, upstream)
+		exclude = append(exclude, slot.upstream)
 	}
 }
 
 // runAt sends the request to an upstream. The exchange outlives the caller's
 // connection, so that a repeat of the ticket can get the answer.
-func (d *Dispatcher) runAt(r *route, upstream string, t ticket.Ticket, j job) ticket.Result {
+func (d *Dispatcher) runAt(r *route, slot grant, t ticket.Ticket, j job) ticket.Result {
 	began := d.options.Now()
 	left := j.deadline.Sub(began)
+	if left < minLeft {
+		d.release(r, slot, 0, false)
+		return notRun(admission.ReasonDeadline)
+	}
 	ctx, cancel := context.WithTimeout(context.Background(), left)
 	defer cancel()
-	result := d.exchangeOnce(ctx, r, upstream, t, j, left)
-	result.Upstream = upstream
+	result := d.exchangeOnce(ctx, r, slot.upstream, t, j, left)
+	if result.Outcome == admission.Answered {
+		d.background.Go(func() { d.sender.prepare(r.addresses[slot.upstream]) })
+	}
+	result.Upstream = slot.upstream
 	busy := time.Duration(0)
 	if result.Outcome != admission.NotRun {
 		busy = d.options.Now().Sub(began)
 	}
-	r.lane.release(upstream, busy)
+	d.release(r, slot, busy, result.Reason == admission.ReasonUpstreamShed)
 	return result
 }
 
--- a/internal/dispatch/relay.go
+++ b/internal/dispatch/relay.go
@@ -118,6 +118,11 @@
 func (d *Dispatcher) relay(ctx context.Context, t ticket.Ticket, args RelayArgs, first host.ID) ticket.Result {
 	ctx, cancel := context.WithTimeout(ctx, time.Duration(args.LeftMs)*time.Millisecond)
 	defer cancel()
+	select {
+	case <-d.viewed:
+	case <-ctx.Done():
+		return unknown(admission.ReasonIssuerUnreachable)
+	}
 	queue := d.holders(t, first)
 	unreachable := false
 	for hops := 0; hops < maxHops && hops < len(queue); hops++ {
--- a/internal/dispatch/route.go
+++ b/internal/dispatch/route.go
@@ -3,6 +3,7 @@
 import (
 	"hash/fnv"
 	"net/netip"
+	"slices"
 
 	"github.com/oatlatch/oatlatch/internal/admission"
 	"github.com/oatlatch/oatlatch/internal/health"
@@ -35,11 +36,7 @@
 
 // targets returns the upstreams that may take new requests, with this host's slots.
 func (r *route) targets(self host.ID, hosts limit.Hosts, states map[upstreamKey]health.Upstream) []admission.Target {
-	demands := make([]limit.Demand, len(r.service.Upstreams))
-	for i, u := range r.service.Upstreams {
-		demands[i] = limit.Demand{Upstream: u.Name, Slots: int(u.Slots)}
-	}
-	shares := limit.Shares(self, hosts, offsetOf(r.service.Name), demands)
+	shares := limit.Shares(self, hosts, offsetOf(r.service.Name), r.demands())
 	distrust := r.distrustHealth(states)
 	var targets []admission.Target
 	for i, u := range r.service.Upstreams {
@@ -52,6 +49,20 @@
 	return targets
 }
 
+// lenders returns the other hosts that have slots of the service.
+func (r *route) lenders(self host.ID, hosts limit.Hosts) []host.ID {
+	owners := limit.Owners(hosts, offsetOf(r.service.Name), r.demands())
+	return slices.DeleteFunc(owners, func(id host.ID) bool { return id == self })
+}
+
+func (r *route) demands() []limit.Demand {
+	demands := make([]limit.Demand, len(r.service.Upstreams))
+	for i, u := range r.service.Upstreams {
+		demands[i] = limit.Demand{Upstream: u.Name, Slots: int(u.Slots)}
+	}
+	return demands
+}
+
 // distrustHealth says whether more than half of the active upstreams look bad
 // at once, which points at the signal rather than at the upstreams.
 func (r *route) distrustHealth(states map[upstreamKey]health.Upstream) bool {
--- /dev/null
+++ b/internal/dispatch/slots_test.go
@@ -0,0 +1,154 @@
+package dispatch_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/oatlatch/oatlatch/callers"
+	"github.com/oatlatch/oatlatch/internal/host"
+	"github.com/oatlatch/oatlatch/internal/standin/upstream"
+)
+
+// flood sends requests from many callers at once, each to one host, and counts
+// them by outcome.
+func flood(c *cluster, callersAtOnce, each int, method string) map[string]int {
+	var mu sync.Mutex
+	counts := make(map[string]int)
+	var group sync.WaitGroup
+	addresses := c.addresses()
+	for i := range callersAtOnce {
+		client := callers.New(callers.Options{Hosts: addresses[i%len(addresses) : i%len(addresses)+1], RequestHost: requestHost})
+		group.Go(func() {
+			for n := range each {
+				header := http.Header{"X-Request-Id": {fmt.Sprintf("f%d-%d", i, n)}}
+				answer, err := client.Do(context.Background(), callers.Request{Method: method, Path: "/x", Header: header, Deadline: 900 * time.Millisecond})
+				var failed *callers.OutcomeError
+				if err != nil && !errors.As(err, &failed) {
+					panic(err)
+				}
+				mu.Lock()
+				counts[string(answer.Outcome)+"/"+answer.Reason]++
+				mu.Unlock()
+			}
+		})
+	}
+	group.Wait()
+	return counts
+}
+
+func TestSlotsAreHonouredAcrossHosts(t *testing.T) {
+	for _, method := range []string{http.MethodGet, http.MethodPost} {
+		c := newCluster(t, clusterOptions{hosts: 5, upstreams: 4, slots: 3, work: 4 * time.Millisecond, queue: 1000})
+		counts := flood(c, 60, 25, method)
+		for i, u := range c.upstreams {
+			if u.Peak() > 3 {
+				t.Errorf("%s: upstream %d held %d requests at once in 3 slots", method, i, u.Peak())
+			}
+		}
+		if counts["answered/ok"] == 0 {
+			t.Errorf("%s: nothing was answered: %v", method, counts)
+		}
+		t.Logf("%s: %v", method, counts)
+	}
+}
+
+func TestSlotsStayWithinTheBoundWhileHostsAreKilledAndRestarted(t *testing.T) {
+	c := newCluster(t, clusterOptions{hosts: 4, upstreams: 4, slots: 3, work: 3 * time.Millisecond, queue: 1000})
+	r := record(c, 6, 100, func(r *rand.Rand) {
+		id := host.ID(fmt.Sprintf("entry-%d", r.IntN(4)))
+		c.kill(id)
+		c.start(id)
+	})
+	r.check(t)
+	for i, u := range c.upstreams {
+		if u.Peak() > 3+4-1 {
+			t.Errorf("upstream %d held %d requests at once", i, u.Peak())
+		}
+	}
+}
+
+func TestHostsWithoutSlotsOfTheirOwnBorrowThem(t *testing.T) {
+	c := newCluster(t, clusterOptions{hosts: 5, upstreams: 1, slots: 2, work: time.Millisecond, queue: 1000})
+	counts := flood(c, 5, 20, http.MethodPost)
+	if counts["answered/ok"] != 100 {
+		t.Errorf("outcomes: %v", counts)
+	}
+	if peak := c.upstreams[0].Peak(); peak > 2 {
+		t.Errorf("the upstream held %d requests at once in 2 slots", peak)
+	}
+}
+
+func TestLeaseOfALostLoanEnds(t *testing.T) {
+	c := newCluster(t, clusterOptions{hosts: 2, upstreams: 1, slots: 1, work: time.Millisecond, queue: 1000})
+	c.loseReplies("entry-0", true)
+	c.loseReplies("entry-1", true)
+	flood(c, 2, 2, http.MethodGet)
+	c.loseReplies("entry-0", false)
+	c.loseReplies("entry-1", false)
+	counts := flood(c, 2, 5, http.MethodGet)
+	if counts["answered/ok"] == 0 {
+		t.Errorf("after the leases: %v", counts)
+	}
+	if peak := c.upstreams[0].Peak(); peak > 1 {
+		t.Errorf("the upstream held %d requests at once in 1 slot", peak)
+	}
+}
+
+func TestRetriesStayWithinTheBudgetWhileAllUpstreamsShed(t *testing.T) {
+	for _, method := range []string{http.MethodGet, http.MethodPost} {
+		c := newCluster(t, clusterOptions{hosts: 2, upstreams: 4, slots: 3})
+		for _, u := range c.upstreams {
+			u.SetFaults(upstream.Faults{Shed: true})
+		}
+		var requests atomic.Int64
+		for i := range 400 {
+			n := c.node(host.ID(fmt.Sprintf("entry-%d", i%2)))
+			ticket := ""
+			if method == http.MethodPost {
+				ticket = freshTicket(t, n)
+			}
+			resp, _ := exchange(t, n, method, "/", http.Header{"Oatlatch-Ticket": {ticket}}, nil)
+			if outcomeOf(resp) != "not-run/upstream-shed" || resp.Header.Get("Retry-After") == "" {
+				t.Fatalf("got %s", outcomeOf(resp))
+			}
+			requests.Add(1)
+		}
+		attempts := 0
+		for _, u := range c.upstreams {
+			attempts += u.ShedCount()
+		}
+		ratio := float64(attempts) / float64(requests.Load())
+		t.Logf("%s: %.3f attempts per request", method, ratio)
+		if ratio >= 1.2 {
+			t.Errorf("%s: %.3f attempts per request", method, ratio)
+		}
+	}
+}
+
+func TestNothingIsSentPastItsDeadline(t *testing.T) {
+	c := newCluster(t, clusterOptions{hosts: 2, upstreams: 2, slots: 1, work: 20 * time.Millisecond, queue: 1000})
+	var group sync.WaitGroup
+	for i := range 40 {
+		group.Go(func() {
+			client := c.client()
+			_, _ = client.Do(context.Background(), callers.Request{
+				Method: http.MethodGet, Path: "/", Deadline: time.Duration(5+i) * time.Millisecond,
+			})
+		})
+	}
+	group.Wait()
+	for _, u := range c.upstreams {
+		for _, run := range u.Runs() {
+			if run.PastDeadline {
+				t.Errorf("%s was sent past its deadline", run.RequestID)
+			}
+		}
+	}
+}
--- a/internal/limit/share.go
+++ b/internal/limit/share.go
@@ -42,6 +42,22 @@
 	return shares
 }
 
+// Owners returns the active hosts that have a share of any of the upstreams.
+func Owners(hosts Hosts, offset int, demands []Demand) []host.ID {
+	total := 0
+	for _, demand := range demands {
+		total += demand.Slots
+	}
+	var owners []host.ID
+	active := sorted(hosts.Active)
+	for index, id := range active {
+		if ownSlots(offset, total, index, len(active)) > 0 {
+			owners = append(owners, id)
+		}
+	}
+	return owners
+}
+
 // ownSlots counts the slots in [first, first+slots) that fall to the host at
 // index when slots go round the hosts in turn.
 func ownSlots(first, slots, index, hosts int) int {
--- a/internal/standin/upstream/handler.go
+++ b/internal/standin/upstream/handler.go
@@ -75,19 +75,33 @@
 	if err != nil {
 		return
 	}
-	if !u.enter() {
+	ctx, cancel := withDeadline(r)
+	defer cancel()
+	run, err := u.runInSlot(ctx, r)
+	switch {
+	case run == nil:
 		shed(w)
-		return
+	case err != nil:
+		http.Error(w, "deadline passed or request cancelled", http.StatusGatewayTimeout)
+	default:
+		u.answer(w, r, run, body)
+	}
+}
+
+// runInSlot runs the request in a slot. The run is nil when it was shed.
+func (u *Upstream) runInSlot(ctx context.Context, r *http.Request) (*Run, error) {
+	if !u.enter() {
+		return nil, nil
 	}
 	defer u.leave()
-	ctx, cancel := withDeadline(r)
-	defer cancel()
 	if !u.takeSlot(ctx) {
-		shed(w)
-		return
+		return nil, nil
 	}
 	defer func() { <-u.slots }()
-	u.run(ctx, w, r, body)
+	run := u.begin(r)
+	err := wait(ctx, u.work(r))
+	u.finish(run, err != nil)
+	return run, err
 }
 
 // shed refuses a request before it runs, in the documented way.
@@ -135,15 +149,8 @@
 	return context.WithTimeout(r.Context(), time.Duration(ms)*time.Millisecond)
 }
 
-// run records the run, works, and answers.
-func (u *Upstream) run(ctx context.Context, w http.ResponseWriter, r *http.Request, body []byte) {
-	run := u.begin(r)
-	err := wait(ctx, u.work(r))
-	u.finish(run, err != nil)
-	if err != nil {
-		http.Error(w, "deadline passed or request cancelled", http.StatusGatewayTimeout)
-		return
-	}
+// answer sends the answer to a finished run.
+func (u *Upstream) answer(w http.ResponseWriter, r *http.Request, run *Run, body []byte) {
 	faults := u.currentFaults()
 	if wait(r.Context(), faults.Late) != nil {
 		return
--- a/internal/ticket/keyring.go
+++ b/internal/ticket/keyring.go
@@ -7,35 +7,41 @@
 	"time"
 )
 
-// retiredKey verifies tickets that were issued under it until they expire.
-type retiredKey struct {
-	key   []byte
+// namedKey is a MAC key with its name.
+type namedKey struct {
+	id     string
+	secret []byte
+	// until is when a key that has left the configuration is forgotten.
 	until time.Time
 }
 
 // Keyring holds the MAC keys of tickets.
 type Keyring struct {
-	keys    [][]byte
-	retired []retiredKey
+	keys    []namedKey
+	retired []namedKey
 }
 
 // Adopt replaces the keys, newest first. A key that leaves goes on verifying for
 // keep, so that tickets issued under it are never taken for forged.
 func (k *Keyring) Adopt(now time.Time, keys [][]byte, keep time.Duration) {
 	for _, old := range k.keys {
-		if !contains(keys, old) {
-			k.retired = append(k.retired, retiredKey{key: old, until: now.Add(keep)})
+		if !contains(keys, old.secret) {
+			old.until = now.Add(keep)
+			k.retired = append(k.retired, old)
 		}
 	}
-	k.retired = slices.DeleteFunc(k.retired, func(r retiredKey) bool { return now.After(r.until) })
-	k.keys = slices.Clone(keys)
+	k.retired = slices.DeleteFunc(k.retired, func(r namedKey) bool { return now.After(r.until) })
+	k.keys = nil
+	for _, secret := range keys {
+		k.keys = append(k.keys, namedKey{id: keyID(secret), secret: bytes.Clone(secret)})
+	}
 }
 
 // Ready says whether tickets can be issued.
 func (k *Keyring) Ready() bool { return len(k.keys) > 0 }
 
 // Encode returns the wire form of the ticket under the newest key.
-func (k *Keyring) Encode(t Ticket) string { return Encode(t, k.keys[0]) }
+func (k *Keyring) Encode(t Ticket) string { return encode(t, k.keys[0]) }
 
 // Verify decodes a ticket. With a kind of UnknownKey the returned ticket holds
 // the unverified claims, by which its issuer can be asked.
@@ -44,11 +50,11 @@
 	if err != nil {
 		return Ticket{}, err
 	}
-	for _, key := range k.all() {
-		if keyID(key) != e.ticket.KeyID {
+	for _, key := range slices.Concat(k.keys, k.retired) {
+		if key.id != e.ticket.KeyID {
 			continue
 		}
-		if hmac.Equal(sum(e.payload, key), e.mac) {
+		if hmac.Equal(sum(e.payload, key.secret), e.mac) {
 			return e.ticket, nil
 		}
 		return Ticket{}, &Error{Kind: Forged}
@@ -56,14 +62,6 @@
 	return e.ticket, &Error{Kind: UnknownKey}
 }
 
-func (k *Keyring) all() [][]byte {
-	keys := slices.Clone(k.keys)
-	for _, r := range k.retired {
-		keys = append(keys, r.key)
-	}
-	return keys
-}
-
 func contains(keys [][]byte, key []byte) bool {
 	return slices.ContainsFunc(keys, func(other []byte) bool { return bytes.Equal(other, key) })
 }
--- a/internal/ticket/ticket.go
+++ b/internal/ticket/ticket.go
@@ -43,13 +43,17 @@
 
 // Encode returns the wire form of the ticket under the key.
 func Encode(t Ticket, key []byte) string {
-	t.KeyID = keyID(key)
+	return encode(t, namedKey{id: keyID(key), secret: key})
+}
+
+func encode(t Ticket, key namedKey) string {
+	t.KeyID = key.id
 	payload, err := json.Marshal(t)
 	if err != nil {
 		panic(fmt.Sprintf("ticket: encode: %v", err))
 	}
 	encoding := base64.RawURLEncoding
-	return encoding.EncodeToString(payload) + "." + encoding.EncodeToString(sum(payload, key))
+	return encoding.EncodeToString(payload) + "." + encoding.EncodeToString(sum(payload, key.secret))
 }
 
 func decode(raw string) (encoded, error) {
