--- a/internal/adopt/fleet_test.go
+++ b/internal/adopt/fleet_test.go
@@ -28,6 +28,8 @@
 	mu      sync.Mutex
 	runners map[host.ID]*node
 	calls   atomic.Int64
+	// onAdopt, if set, is called for every adoption of every host.
+	onAdopt func(host.Host, config.Version)
 }
 
 // node is one host of a fleet.
@@ -38,8 +40,6 @@
 	cancel context.CancelFunc
 	done   chan struct{}
 	cut    atomic.Bool
-	// versions are what OnAdopt reported, in order.
-	versions []config.Version
 }
 
 func newFleet() *fleet { return &fleet{runners: map[host.ID]*node{}} }
@@ -52,7 +52,11 @@
 	}}
 	n.runner = adopt.New(adopt.Options{
 		Self: n.host, Port: port, Peers: n, Seed: uint64(number) + uint64(incarnation)<<16,
-		OnAdopt: func(s *config.Snapshot) { n.versions = append(n.versions, s.Version()) },
+		OnAdopt: func(s *config.Snapshot) {
+			if f.onAdopt != nil {
+				f.onAdopt(n.host, s.Version())
+			}
+		},
 	})
 	f.mu.Lock()
 	f.runners[n.host.ID] = n
--- a/internal/platform/fake/faults.go
+++ b/internal/platform/fake/faults.go
@@ -15,6 +15,8 @@
 	DropWrites int
 	// Stale answers reads and watches from the contents at the time the fault was set.
 	Stale bool
+	// StaleFrom, if set, is what Stale and StaleHosts answer from instead.
+	StaleFrom *Store
 	// StaleHosts answers the host list of the time the fault was set.
 	StaleHosts bool
 	// DeafWatches lets watches wait out their time without reporting a change.
--- a/internal/platform/fake/port.go
+++ b/internal/platform/fake/port.go
@@ -47,6 +47,9 @@
 	if (faults.Stale || faults.StaleHosts) && !p.faults.Stale && !p.faults.StaleHosts {
 		p.stale = p.store.Copy()
 	}
+	if faults.StaleFrom != nil {
+		p.stale = faults.StaleFrom
+	}
 	p.faults = faults
 	close(p.faultsChanged)
 	p.faultsChanged = make(chan struct{})
