Refuse on arrival what would wait past half of its time

Cause: queues stood at the full length that deadlines allow, so answers came just before or after the deadline and refusals came late from the queue.

--- a/internal/admission/scheduler.go
+++ b/internal/admission/scheduler.go
@@ -17,6 +17,11 @@
 	InitialEstimate time.Duration
 }
 
+// waitMargin is the factor by which a wait must fit into the time left: queues
+// stay at half of what deadlines allow, so that refusals come on arrival and
+// seldom from the queue.
+const waitMargin = 2
+
 // estimateWeight is the weight of one measurement in the mean service time.
 const estimateWeight = 0.05
 
@@ -54,7 +59,7 @@
 	if len(s.queue) >= s.options.QueueLimit {
 		return Decision{ID: r.ID, Kind: Refused, Reason: ReasonQueueFull}
 	}
-	if now.Add(s.wait(len(s.queue)) + s.estimate).After(r.Deadline) {
+	if now.Add(waitMargin*s.wait(len(s.queue)) + s.estimate).After(r.Deadline) {
 		return Decision{ID: r.ID, Kind: Refused, Reason: ReasonOverloaded}
 	}
 	s.queue = append(s.queue, r)
--- a/internal/admission/sharing_test.go
+++ b/internal/admission/sharing_test.go
@@ -308,10 +308,12 @@
 }
 
 func TestSharingPolicies(t *testing.T) {
+	goodput := make(map[string]float64)
 	for _, skew := range []float64{0, 0.3} {
 		for _, rate := range []float64{0.7, 1, 2} {
 			for _, p := range []policy{staticShares, lentShares, fullSlots} {
 				f := simulate(planStore(p, rate, skew))
+				goodput[fmt.Sprint(p, skew, rate)] = f.goodput
 				t.Logf("skew %.1f load %.1f %-6s goodput %.3f p99 %v excess %d attempts %.3f refused %.3f queue %d",
 					skew, rate, p, f.goodput, f.p99.Round(time.Millisecond), f.excess, f.attempts, f.refused, f.maxQueue)
 				if p != fullSlots && f.excess > 0 {
@@ -319,5 +321,12 @@
 				}
 			}
 		}
+		once, twice := goodput[fmt.Sprint(lentShares, skew, 1.0)], goodput[fmt.Sprint(lentShares, skew, 2.0)]
+		if twice < 0.9*once {
+			t.Errorf("skew %.1f: goodput %.3f at 2x, %.3f at 1x", skew, twice, once)
+		}
+		if static := goodput[fmt.Sprint(staticShares, skew, 1.0)]; once < static {
+			t.Errorf("skew %.1f: lending brings %.3f, static shares %.3f", skew, once, static)
+		}
 	}
 }
