Open a cold upstream's slots by and by on all hosts together

Cause: with less than one slot for each host, a ramp that leaves every host at least one slot changes nothing for the upstream. Change: shares are taken from the open slots, a prefix that grows with the ramp and is the same on every host.

--- a/internal/admission/sharing_test.go
+++ b/internal/admission/sharing_test.go
@@ -107,6 +107,8 @@
 	refused   int
 	maxQueue  int
 	latencies []time.Duration
+	// slowness is the factor by which work at an upstream takes longer.
+	slowness func(name string) float64
 }
 
 func (s *simulation) after(d time.Duration, do func()) {
@@ -114,15 +116,22 @@
 	heap.Push(&s.agenda, event{at: s.now.Add(d), seq: s.seq, do: do})
 }
 
-func simulate(l load) figures {
+func simulate(l load) figures { return newSimulation(l).run() }
+
+func newSimulation(l load) *simulation {
 	s := &simulation{
 		load: l, rand: rand.New(rand.NewPCG(l.seed, 1)), now: time.Unix(0, 0),
 		requests: make(map[uint64]*request), running: make(map[string]int),
+		slowness: func(string) float64 { return 1 },
 	}
 	s.addHosts()
-	mean := float64(l.work) / float64(l.targets*l.slots) / l.rate
+	return s
+}
+
+func (s *simulation) run() figures {
+	mean := float64(s.load.work) / float64(s.load.targets*s.load.slots) / s.load.rate
 	at := time.Duration(0)
-	for id := range l.count {
+	for id := range s.load.count {
 		at += time.Duration(s.rand.ExpFloat64() * mean)
 		s.after(at, func() { s.arrive(uint64(id)) })
 	}
@@ -135,33 +144,47 @@
 }
 
 func (s *simulation) addHosts() {
+	for i := range s.load.hosts {
+		s.hosts = append(s.hosts, admission.NewScheduler(admission.Options{
+			Rand: rand.New(rand.NewPCG(s.load.seed, uint64(i)+2)), QueueLimit: 256, InitialEstimate: s.load.work,
+		}))
+		s.budgets = append(s.budgets, limit.NewBudget(limit.DefaultRetryRatio))
+	}
+	s.share(1)
+}
+
+// share gives each host its slots, with the first target ramping.
+func (s *simulation) share(ramp float64) {
 	ids := make([]host.ID, s.load.hosts)
 	for i := range ids {
 		ids[i] = host.ID(fmt.Sprintf("entry-%d", i))
 	}
 	demands := make([]limit.Demand, s.load.targets)
 	for i := range demands {
-		demands[i] = limit.Demand{Upstream: fmt.Sprintf("target-%d", i), Slots: s.load.slots}
+		demands[i] = limit.Demand{Upstream: fmt.Sprintf("target-%d", i), Slots: s.load.slots, Open: s.load.slots}
 	}
+	demands[0].Open = limit.RampSlots(s.load.slots, ramp)
 	for i, id := range ids {
-		scheduler := admission.NewScheduler(admission.Options{
-			Rand: rand.New(rand.NewPCG(s.load.seed, uint64(i)+2)), QueueLimit: 256, InitialEstimate: s.load.work,
-		})
 		shares := limit.Shares(id, limit.Hosts{Known: ids, Active: ids}, 0, demands)
-		var targets []admission.Target
-		for j, d := range demands {
-			slots := shares[j]
-			if s.load.policy == fullSlots {
-				slots = d.Slots
-			}
-			if slots > 0 {
-				targets = append(targets, admission.Target{Name: d.Upstream, Slots: slots, Ramp: 1})
-			}
+		s.decideAll(s.hosts[i].Update(s.now, s.targets(demands, shares, ramp)))
+	}
+}
+
+func (s *simulation) targets(demands []limit.Demand, shares []int, ramp float64) []admission.Target {
+	var targets []admission.Target
+	for j, d := range demands {
+		target := admission.Target{Name: d.Upstream, Slots: shares[j], Ramp: 1}
+		if s.load.policy == fullSlots {
+			target.Slots = d.Open
+		}
+		if j == 0 {
+			target.Ramp = ramp
+		}
+		if target.Slots > 0 {
+			targets = append(targets, target)
 		}
-		scheduler.Update(s.now, targets)
-		s.hosts = append(s.hosts, scheduler)
-		s.budgets = append(s.budgets, limit.NewBudget(limit.DefaultRetryRatio))
 	}
+	return targets
 }
 
 func (s *simulation) arrive(id uint64) {
@@ -201,7 +224,7 @@
 	waiting := r.attempts == 0 && s.requests[r.id] != nil
 	switch {
 	case ok && waiting && (!r.queued || s.hosts[r.host].Cancel(r.id)):
-		s.run(r, name, func(time.Duration) {
+		s.serve(r, name, func(time.Duration) {
 			s.after(simulatedRoundTrip/2, func() { s.decideAll(s.hosts[lender].Release(s.now, name, 0)) })
 		})
 	case ok:
@@ -238,7 +261,7 @@
 		s.refused++
 	case admission.Granted:
 		r.queued = false
-		s.run(r, d.Upstream, nil)
+		s.serve(r, d.Upstream, nil)
 	}
 }
 
@@ -247,8 +270,8 @@
 	delete(s.requests, r.id)
 }
 
-// run sends the request to the upstream, which sheds it when it is full.
-func (s *simulation) run(r *request, name string, done func(time.Duration)) {
+// serve sends the request to the upstream, which sheds it when it is full.
+func (s *simulation) serve(r *request, name string, done func(time.Duration)) {
 	r.attempts++
 	r.queued = false
 	s.attempts++
@@ -258,7 +281,7 @@
 		s.after(simulatedRoundTrip, func() { s.shed(r, name) })
 		return
 	}
-	work := time.Duration(float64(s.load.work) * (0.5 + s.rand.ExpFloat64()/2))
+	work := time.Duration(float64(s.load.work) * (0.5 + s.rand.ExpFloat64()/2) * s.slowness(name))
 	s.after(work, func() {
 		s.running[name]--
 		s.latencies = append(s.latencies, s.now.Sub(r.arrived))
--- a/internal/dispatch/route.go
+++ b/internal/dispatch/route.go
@@ -36,7 +36,7 @@
 
 // targets returns the upstreams that may take new requests, with this host's slots.
 func (r *route) targets(self host.ID, hosts limit.Hosts, states map[upstreamKey]health.Upstream) []admission.Target {
-	shares := limit.Shares(self, hosts, offsetOf(r.service.Name), r.demands())
+	shares := limit.Shares(self, hosts, offsetOf(r.service.Name), r.demands(states))
 	distrust := r.distrustHealth(states)
 	var targets []admission.Target
 	for i, u := range r.service.Upstreams {
@@ -44,21 +44,23 @@
 		if u.State != service.AdminActive || shares[i] == 0 || (known && !takesWork(state.State, distrust)) {
 			continue
 		}
-		targets = append(targets, target(u.Name, shares[i], state))
+		targets = append(targets, admission.Target{Name: u.Name, Slots: shares[i], Ramp: rampOf(state)})
 	}
 	return targets
 }
 
 // lenders returns the other hosts that have slots of the service.
 func (r *route) lenders(self host.ID, hosts limit.Hosts) []host.ID {
-	owners := limit.Owners(hosts, offsetOf(r.service.Name), r.demands())
+	owners := limit.Owners(hosts, offsetOf(r.service.Name), r.demands(nil))
 	return slices.DeleteFunc(owners, func(id host.ID) bool { return id == self })
 }
 
-func (r *route) demands() []limit.Demand {
+// demands returns the upstreams' slots; a joining upstream opens them by and by.
+func (r *route) demands(states map[upstreamKey]health.Upstream) []limit.Demand {
 	demands := make([]limit.Demand, len(r.service.Upstreams))
 	for i, u := range r.service.Upstreams {
-		demands[i] = limit.Demand{Upstream: u.Name, Slots: int(u.Slots)}
+		ramp := rampOf(states[upstreamKey{r.service.ID, u.Name}])
+		demands[i] = limit.Demand{Upstream: u.Name, Slots: int(u.Slots), Open: limit.RampSlots(int(u.Slots), ramp)}
 	}
 	return demands
 }
@@ -84,12 +86,12 @@
 	return state == health.Up || state == health.Joining || (distrust && state == health.Suspect)
 }
 
-func target(name string, share int, state health.Upstream) admission.Target {
+// rampOf returns the share of its full work that an upstream takes.
+func rampOf(state health.Upstream) float64 {
 	if state.State != health.Joining {
-		return admission.Target{Name: name, Slots: share, Ramp: 1}
+		return 1
 	}
-	ramp := min(1, max(limit.RampFloor, state.Ramp))
-	return admission.Target{Name: name, Slots: limit.RampSlots(share, ramp), Ramp: ramp}
+	return min(1, max(limit.RampFloor, state.Ramp))
 }
 
 // sharing returns the hosts that divide the slots, as the view shows them.
--- a/internal/limit/limit_test.go
+++ b/internal/limit/limit_test.go
@@ -31,7 +31,8 @@
 func drawDemands(t *rapid.T) []Demand {
 	demands := make([]Demand, rapid.IntRange(1, 8).Draw(t, "upstreams"))
 	for i := range demands {
-		demands[i] = Demand{Slots: rapid.IntRange(1, 20).Draw(t, "slots")}
+		slots := rapid.IntRange(1, 20).Draw(t, "slots")
+		demands[i] = Demand{Slots: slots, Open: slots}
 	}
 	return demands
 }
@@ -63,6 +64,19 @@
 	})
 }
 
+func TestRampOpensTheSameSlotsOnEveryHost(t *testing.T) {
+	ids := hostIDs(5)
+	for open := 1; open <= 3; open++ {
+		total := 0
+		for _, id := range ids {
+			total += Shares(id, Hosts{Known: ids, Active: ids}, 2, []Demand{{Slots: 3, Open: open}})[0]
+		}
+		if total != open {
+			t.Errorf("%d open slots are handed out as %d", open, total)
+		}
+	}
+}
+
 func TestHostsThatDisagreeStayWithinTheBound(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		ids := hostIDs(rapid.IntRange(1, 12).Draw(t, "hosts"))
--- a/internal/limit/share.go
+++ b/internal/limit/share.go
@@ -19,9 +19,11 @@
 type Demand struct {
 	Upstream string
 	Slots    int
+	// Open is how many of the slots may be used now, fewer after a cold start.
+	Open int
 }
 
-// Shares returns how many slots of each upstream the host may use, in the order
+// Shares returns how many open slots of each upstream the host may use, in the order
 // of the demands. Hosts that agree on the active hosts never hand out a slot
 // twice. Whatever they believe, no host takes more than ceil(slots/known), so
 // that an upstream sees at most slots + known - 1 requests at once.
@@ -35,7 +37,7 @@
 	known := max(len(sorted(hosts.Known)), len(active))
 	first := offset
 	for i, demand := range demands {
-		own := ownSlots(first, demand.Slots, index, len(active))
+		own := ownSlots(first, demand.Open, index, len(active))
 		shares[i] = min(own, (demand.Slots+known-1)/known)
 		first += demand.Slots
 	}
