--- a/internal/adopt/fleet_test.go
+++ b/internal/adopt/fleet_test.go
@@ -45,7 +45,7 @@
 func newFleet() *fleet { return &fleet{runners: map[host.ID]*node{}} }
 
 // start runs a host with the given platform port.
-func (f *fleet) start(t *testing.T, number int, incarnation host.Incarnation, port platform.Port) *node {
+func (f *fleet) start(t testing.TB, number int, incarnation host.Incarnation, port platform.Port) *node {
 	t.Helper()
 	n := &node{fleet: f, done: make(chan struct{}), host: host.Host{
 		ID: host.ID(fmt.Sprintf("host-%03d", number)), Incarnation: incarnation, DataCentre: dataCentres[number%len(dataCentres)],
@@ -127,7 +127,7 @@
 	}
 }
 
-func publish(t *testing.T, store *fake.Store, seed uint64, services ...service.Service) config.Version {
+func publish(t testing.TB, store *fake.Store, seed uint64, services ...service.Service) config.Version {
 	t.Helper()
 	var key [32]byte
 	key[0] = byte(seed)
--- /dev/null
+++ b/internal/adopt/slope_test.go
@@ -0,0 +1,57 @@
+package adopt_test
+
+import (
+	"net"
+	"net/rpc"
+	"sync/atomic"
+	"testing"
+
+	"github.com/oatlatch/oatlatch/internal/adopt"
+	"github.com/oatlatch/oatlatch/internal/host"
+	"github.com/oatlatch/oatlatch/internal/platform/fake"
+	"github.com/onsi/gomega"
+)
+
+// countedConn counts the bytes written to it.
+type countedConn struct {
+	net.Conn
+	written *atomic.Int64
+}
+
+func (c countedConn) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b)
+	c.written.Add(int64(n))
+	return n, err
+}
+
+// BenchmarkSlopeMessage measures the bytes of one idle pull in both directions on an
+// open net/rpc connection, below TLS.
+func BenchmarkSlopeMessage(b *testing.B) {
+	store, f := fake.NewStore(), newFleet()
+	version := publish(b, store, 1, svc("a", 1, 1))
+	n := f.start(b, 0, 1, fake.NewPort(store))
+	gomega.NewWithT(b).Eventually(n.version, inForce).Should(gomega.Equal(version))
+	server := rpc.NewServer()
+	if err := server.RegisterName("Config", n.runner.PeerService(host.ID("peer"))); err != nil {
+		b.Fatal(err)
+	}
+	var written atomic.Int64
+	near, far := net.Pipe()
+	go server.ServeConn(countedConn{far, &written})
+	client := rpc.NewClient(countedConn{near, &written})
+	defer client.Close()
+	pull := func() {
+		var reply adopt.PullReply
+		if err := client.Call("Config.Pull", adopt.PullArgs{Version: version}, &reply); err != nil {
+			b.Fatal(err)
+		}
+	}
+	// The first call carries the types.
+	pull()
+	written.Store(0)
+	b.ResetTimer()
+	for range b.N {
+		pull()
+	}
+	b.ReportMetric(float64(written.Load())/float64(b.N), "B/pull")
+}
--- /dev/null
+++ b/internal/config/slope_test.go
@@ -0,0 +1,199 @@
+package config_test
+
+import (
+	"fmt"
+	"runtime"
+	"testing"
+	"time"
+
+	"github.com/oatlatch/oatlatch/internal/config"
+	"github.com/oatlatch/oatlatch/internal/platform/fake"
+	"github.com/oatlatch/oatlatch/internal/publish"
+	"github.com/oatlatch/oatlatch/internal/service"
+)
+
+// upstreamsPerService is 3,300 targets over 1,200 services, rounded up.
+const upstreamsPerService = 3
+
+var (
+	slopeHosts    = []int{50, 100, 200, 430}
+	slopeServices = []int{300, 600, 1200}
+)
+
+// services returns a configuration of the given size.
+func services(count int) []service.Service {
+	var all []service.Service
+	for number := range count {
+		all = append(all, svc(number, upstreamsPerService, 1))
+	}
+	return all
+}
+
+// tally is what a fleet has sent and asked so far.
+type tally struct{ messages, bytes, calls int }
+
+func (s *sim) tally() tally {
+	t := tally{calls: s.totalCalls}
+	for _, h := range s.hosts {
+		t.messages += h.messages
+		t.bytes += h.bytes
+	}
+	return t
+}
+
+func (t tally) sub(earlier tally) tally {
+	return tally{t.messages - earlier.messages, t.bytes - earlier.bytes, t.calls - earlier.calls}
+}
+
+// BenchmarkSlopeFleet measures the idle load and the load of one change against
+// the number of hosts. A change counts for the 10 s that follow it, less the idle load.
+func BenchmarkSlopeFleet(b *testing.B) {
+	const window, idleTime, changes = 10 * time.Second, 100 * time.Second, 5
+	for _, hosts := range slopeHosts {
+		b.Run(fmt.Sprintf("hosts=%d", hosts), func(b *testing.B) {
+			for range b.N {
+				s := newFleet(b, 1, hosts, 7)
+				before := s.tally()
+				s.run(idleTime)
+				idle := s.tally().sub(before)
+				before = s.tally()
+				for weight := range changes {
+					s.publish(svc(1, 3, weight+2))
+					s.run(window)
+				}
+				busy := s.tally().sub(before)
+				perSecond := func(n int) float64 { return float64(n) / idleTime.Seconds() }
+				perChange := func(busy, idle int) float64 {
+					return float64(busy)/changes - perSecond(idle)*window.Seconds()
+				}
+				n := float64(hosts)
+				b.ReportMetric(perSecond(idle.messages)/n, "idle-msg/s/host")
+				b.ReportMetric(perSecond(idle.bytes)/n, "idle-B/s/host")
+				b.ReportMetric(perSecond(idle.calls), "idle-calls/s")
+				b.ReportMetric(perChange(busy.messages, idle.messages)/n, "msg/change/host")
+				b.ReportMetric(perChange(busy.bytes, idle.bytes)/n, "B/change/host")
+				b.ReportMetric(perChange(busy.calls, idle.calls), "calls/change")
+			}
+		})
+	}
+}
+
+// BenchmarkSlopeStart measures platform calls while all hosts start at once.
+func BenchmarkSlopeStart(b *testing.B) {
+	for _, hosts := range slopeHosts {
+		b.Run(fmt.Sprintf("hosts=%d", hosts), func(b *testing.B) {
+			for range b.N {
+				s := newSim(1, b.Fatalf)
+				s.publish(services(60)...)
+				for range hosts {
+					s.addHost(7)
+				}
+				for _, h := range s.hosts {
+					h.boot()
+				}
+				served := 0
+				for ; served < 60 && !s.allServe(); served++ {
+					s.run(100 * time.Millisecond)
+				}
+				peak := 0
+				for _, calls := range s.calls {
+					peak = max(peak, calls)
+				}
+				b.ReportMetric(float64(served)/10, "s-until-all-serve")
+				b.ReportMetric(float64(peak), "peak-calls/s")
+				b.ReportMetric(float64(s.totalCalls)/float64(hosts), "calls/host")
+			}
+		})
+	}
+}
+
+func (s *sim) allServe() bool {
+	for _, h := range s.hosts {
+		if h.adopter.Bundle() == nil {
+			return false
+		}
+	}
+	return true
+}
+
+// BenchmarkSlopeOutage measures platform calls in an outage of ten minutes and in
+// the minute after it.
+func BenchmarkSlopeOutage(b *testing.B) {
+	for _, hosts := range slopeHosts {
+		b.Run(fmt.Sprintf("hosts=%d", hosts), func(b *testing.B) {
+			for range b.N {
+				s := newFleet(b, 1, hosts, 7)
+				for _, h := range s.hosts {
+					h.cut = true
+				}
+				s.run(10 * time.Minute)
+				healed := int(s.now.Sub(s.start) / time.Second)
+				for _, h := range s.hosts {
+					h.cut = false
+				}
+				s.run(time.Minute)
+				during, after := 0, 0
+				for second, calls := range s.calls {
+					switch {
+					case second >= healed:
+						after = max(after, calls)
+					case second > 10:
+						during = max(during, calls)
+					}
+				}
+				b.ReportMetric(float64(during), "peak-calls/s-during")
+				b.ReportMetric(float64(after), "peak-calls/s-after")
+			}
+		})
+	}
+}
+
+// BenchmarkSlopeAdopt measures what one change costs a host against the number of
+// services: time, the bytes that it transfers and the memory that a configuration holds.
+func BenchmarkSlopeAdopt(b *testing.B) {
+	for _, count := range slopeServices {
+		b.Run(fmt.Sprintf("services=%d", count), func(b *testing.B) {
+			store := fake.NewStore()
+			request := publish.Request{ID: "first", Services: services(count), At: time.Unix(1_800_000_000, 0)}
+			if _, err := publishTo(store, request); err != nil {
+				b.Fatal(err)
+			}
+			heapBefore := heapInUse()
+			old := readState(store).Bundle
+			held := heapInUse() - heapBefore
+			change := publish.Request{ID: "second", Services: []service.Service{svc(1, 3, 9)}, At: request.At}
+			if _, err := publishTo(store, change); err != nil {
+				b.Fatal(err)
+			}
+			head := store.Get(config.HeadKey).Data
+			decoded, err := config.DecodeHead(head)
+			if err != nil {
+				b.Fatal(err)
+			}
+			transferred := len(head)
+			var pages []config.PageData
+			for _, ref := range old.Missing(decoded) {
+				data := store.Get(ref.Key()).Data
+				transferred += len(data)
+				pages = append(pages, config.PageData{Ref: ref, Data: data})
+			}
+			b.ReportAllocs()
+			b.ResetTimer()
+			for range b.N {
+				if _, err := config.NewBundle(head, pages, old); err != nil {
+					b.Fatal(err)
+				}
+			}
+			b.ReportMetric(float64(transferred), "B/change")
+			b.ReportMetric(float64(len(head)), "B/head")
+			b.ReportMetric(float64(held), "B-held")
+		})
+	}
+}
+
+func heapInUse() int {
+	runtime.GC()
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return int(stats.HeapAlloc)
+}
