Test quarantine, refusals and the deletion of unused pages

Cause: a service that was removed by mistake could not come back for ten minutes, because its new ID made its own address another's. Conclusion: an address moves only after every listed host has let it go.

--- a/internal/config/bundle.go
+++ b/internal/config/bundle.go
@@ -132,11 +132,14 @@
 		svc   service.Service
 	}
 	var items []item
+	assigned := map[service.ID]bool{}
 	for _, page := range b.pages {
 		for i, record := range page.page.Services {
-			if record.Service.ID == 0 || record.Service.ID >= b.Head.NextID {
-				return nil, &InvalidError{Object: "head", Reason: "service " + record.Service.Name + " has no assigned ID"}
+			id := record.Service.ID
+			if id == 0 || id >= b.Head.NextID || assigned[id] {
+				return nil, &InvalidError{Object: "head", Reason: "service " + record.Service.Name + " has no ID of its own"}
 			}
+			assigned[id] = true
 			items = append(items, item{newEntry(record, page.hashes[i]), record.Service})
 		}
 	}
--- a/internal/config/manifest.go
+++ b/internal/config/manifest.go
@@ -47,7 +47,10 @@
 // Quarantine is an address or request host that a service has released.
 type Quarantine struct {
 	// Service is the service that released it and may take it back at any time.
-	Service  service.ID
+	Service service.ID
+	// Name is the name of that service. A service that was removed gets its ID back
+	// when it is published again while its address is in quarantine.
+	Name     string
 	Address  netip.AddrPort
 	Protocol service.Protocol
 	// RequestHost is set instead of Address when the service released a request host.
--- a/internal/config/sim_converge_test.go
+++ b/internal/config/sim_converge_test.go
@@ -58,6 +58,7 @@
 	}
 	for name, breakFleet := range scenarios {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			for hosts, seeds := range map[int]uint64{4: 20, 50: 5, 430: 1} {
 				for seed := range seeds {
 					s := newFleet(t, seed, hosts, 7)
@@ -80,7 +81,35 @@
 	}
 }
 
+func TestEveryHostConfirmsARelease(t *testing.T) {
+	const hosts, confirmSpread = 50, 10 * time.Second
+	s := newFleet(t, 4, hosts, 7)
+	before := s.totalCalls
+	s.run(confirmSpread)
+	idle := s.totalCalls - before
+	moved := svc(1, 3, 1)
+	moved.Address = svc(9, 3, 1).Address
+	version := s.publish(moved)
+	before = s.totalCalls
+	s.run(inForce + confirmSpread)
+	confirmed := s.store.List(config.AdoptedPrefix)
+	for _, value := range confirmed {
+		confirmation, err := config.DecodeConfirmation(value.Key, value.Data)
+		if err != nil || confirmation.Version < version {
+			t.Fatalf("%+v %v", confirmation, err)
+		}
+	}
+	if len(confirmed) != hosts {
+		t.Fatalf("%d hosts confirmed", len(confirmed))
+	}
+	// A confirmation takes a read and a write.
+	if calls := s.totalCalls - before - idle; calls > 4*hosts {
+		t.Fatalf("%d calls", calls)
+	}
+}
+
 func TestWatchersCutOffAreReplaced(t *testing.T) {
+	t.Parallel()
 	s := newFleet(t, 1, 140, 7)
 	for _, h := range s.hosts {
 		if h.adopter.Status(s.now).Watching {
@@ -96,6 +125,7 @@
 }
 
 func TestOutageKeepsTheConfigurationAndHealsWithoutAHerd(t *testing.T) {
+	t.Parallel()
 	const hosts = 430
 	s := newFleet(t, 1, hosts, 7)
 	for _, h := range s.hosts {
@@ -118,6 +148,7 @@
 }
 
 func TestFleetThatStartsInAnOutageDoesNotReadInStep(t *testing.T) {
+	t.Parallel()
 	const hosts, seconds = 430, 60
 	s := newSim(5, t.Fatalf)
 	s.refuses = true
@@ -142,6 +173,7 @@
 }
 
 func TestAnyLengthOfOutage(t *testing.T) {
+	t.Parallel()
 	s := newFleet(t, 1, 4, 3)
 	for _, h := range s.hosts {
 		h.cut = true
--- a/internal/publish/plan.go
+++ b/internal/publish/plan.go
@@ -113,11 +113,18 @@
 	return records, p.claimAll(r, s, head, records, claimants)
 }
 
+// assignID keeps the ID of a service that is published or was removed a while ago.
 func assignID(next, old *service.Service, head *config.Head) error {
 	if old != nil {
 		next.ID = old.ID
 		return nil
 	}
+	for _, q := range head.Quarantined {
+		if q.Name == next.Name {
+			next.ID = q.Service
+			return nil
+		}
+	}
 	if head.NextID > service.MaxID {
 		return &InvalidServiceError{Service: next.Name, Reason: "all service IDs are used up"}
 	}
--- a/internal/publish/quarantine.go
+++ b/internal/publish/quarantine.go
@@ -22,7 +22,7 @@
 		return nil
 	}
 	var released []config.Quarantine
-	base := config.Quarantine{Service: old.ID, Released: version, ReleasedAt: at}
+	base := config.Quarantine{Service: old.ID, Name: old.Name, Released: version, ReleasedAt: at}
 	if next == nil || next.Address != old.Address || next.Protocol != old.Protocol {
 		entry := base
 		entry.Address, entry.Protocol = old.Address, old.Protocol
--- a/internal/publisher/publisher_test.go
+++ b/internal/publisher/publisher_test.go
@@ -10,6 +10,7 @@
 	"testing"
 	"time"
 
+	"github.com/oatlatch/oatlatch/internal/config"
 	"github.com/oatlatch/oatlatch/internal/platform/fake"
 	"github.com/oatlatch/oatlatch/internal/publish"
 	"github.com/oatlatch/oatlatch/internal/publisher"
@@ -86,3 +87,23 @@
 		t.Fatal("published without randomness")
 	}
 }
+
+func TestUnusedPagesAreDeleted(t *testing.T) {
+	const publications = 200
+	port := fake.NewPort(fake.NewStore())
+	ctx := context.Background()
+	for i := range publications {
+		changed := svc("a", 1)
+		changed.Upstreams[0].Weight = uint32(i + 1)
+		if _, err := publisher.Publish(ctx, port, options(uint64(i)), []service.Service{changed, svc("b", 2)}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	// The sweep runs every 32 versions and keeps the pages of the last 64.
+	if pages := len(port.Store().List(config.PagePrefix)); pages > 100 {
+		t.Fatalf("%d pages after %d publications", pages, publications)
+	}
+	if again, err := publisher.Publish(ctx, port, options(1), []service.Service{svc("b", 2)}); err != nil || !again.Unchanged {
+		t.Fatalf("%+v %v", again, err)
+	}
+}
