Fit relays and handovers into the messages between hosts

Cause: peers refuse messages above 1 MiB and more than 64 calls in flight; a body or answer of 1 MiB, or a window of 8 million tickets, could not be relayed or handed over, and ledgers taken over were never dropped. Change: bodies and answers up to 512 KiB, 2 million tickets, the window in a part of its own, busy peers are asked again until the deadline, ledgers taken over are dropped when all their tickets and results have expired.

--- a/internal/dispatch/book.go
+++ b/internal/dispatch/book.go
@@ -19,6 +19,8 @@
 	idle      chan struct{}
 	moved     chan struct{}
 	successor host.ID
+	// until is when a ledger that was taken over has no more use; zero for the own one.
+	until time.Time
 }
 
 func newBook(ledger *ticket.Ledger) *book {
--- a/internal/dispatch/borrow.go
+++ b/internal/dispatch/borrow.go
@@ -96,11 +96,7 @@
 		if g, ok := d.borrowRound(r, deadline, exclude); ok {
 			return g, ""
 		}
-		timer := time.NewTimer(pause)
-		select {
-		case <-timer.C:
-		case <-ctx.Done():
-			timer.Stop()
+		if !sleep(ctx, pause) {
 			return grant{}, waitEnded(ctx)
 		}
 	}
--- a/internal/dispatch/cluster_test.go
+++ b/internal/dispatch/cluster_test.go
@@ -24,6 +24,7 @@
 	"github.com/oatlatch/oatlatch/internal/dispatch"
 	"github.com/oatlatch/oatlatch/internal/host"
 	"github.com/oatlatch/oatlatch/internal/membership"
+	"github.com/oatlatch/oatlatch/internal/peer"
 	"github.com/oatlatch/oatlatch/internal/service"
 	"github.com/oatlatch/oatlatch/internal/standin/upstream"
 )
@@ -302,6 +303,9 @@
 	if err := gob.NewEncoder(&buffer).Encode(from); err != nil {
 		return err
 	}
+	if buffer.Len() > 1<<20 {
+		return &peer.Error{Kind: peer.TooLarge}
+	}
 	return gob.NewDecoder(&buffer).Decode(to)
 }
 
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -40,12 +40,14 @@
 	snapshot *config.Snapshot
 	members  membership.View
 	// viewed is closed with the first view of the hosts.
-	viewed   chan struct{}
-	sawView  func()
-	states   map[upstreamKey]health.Upstream
-	keys     ticket.Keyring
-	books    map[host.Incarnation]*book
+	viewed  chan struct{}
+	sawView func()
+	states  map[upstreamKey]health.Upstream
+	keys    ticket.Keyring
+	books   map[host.Incarnation]*book
+	// incoming holds transfers in parts, and begun when their first part came.
 	incoming map[host.Incarnation]*ticket.Transfer
+	begun    map[host.Incarnation]time.Time
 	draining bool
 
 	loans loanBook
@@ -65,6 +67,7 @@
 		viewed:   make(chan struct{}),
 		books:    make(map[host.Incarnation]*book),
 		incoming: make(map[host.Incarnation]*ticket.Transfer),
+		begun:    make(map[host.Incarnation]time.Time),
 	}
 	d.sawView = sync.OnceFunc(func() { close(d.viewed) })
 	bounds := d.ledgerBounds()
@@ -174,6 +177,7 @@
 	for _, b := range d.allBooks() {
 		b.sweep(now)
 	}
+	d.dropLedgers(now)
 	d.loans.sweep(now)
 	d.sender.pool.sweep()
 }
--- a/internal/dispatch/handover.go
+++ b/internal/dispatch/handover.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"time"
 
 	"github.com/oatlatch/oatlatch/internal/host"
 	"github.com/oatlatch/oatlatch/internal/ticket"
@@ -24,11 +25,17 @@
 	Refused bool
 }
 
+// maxLedgers bounds the ledgers that a host holds at once.
+const maxLedgers = 32
+
+// incomingTimeout is how long the parts of a transfer may take.
+const incomingTimeout = time.Minute
+
 // handoverTries bounds the tries to hand a ledger to one successor.
 const handoverTries = 3
 
 // errRefused says that a host did not take a ledger.
-var errRefused = errors.New("dispatch: the host refused the ledger because it is draining itself")
+var errRefused = errors.New("dispatch: the host refused the ledger because it is draining or holds too many")
 
 // maxPartBytes bounds the answers in one part of a handover.
 const maxPartBytes = 256 << 10
@@ -118,14 +125,13 @@
 	return err
 }
 
-// send hands the transfer to a successor in parts.
+// send hands the transfer to a successor in parts: first the window, which may
+// fill a message, and then the records.
 func (d *Dispatcher) send(ctx context.Context, to host.ID, transfer ticket.Transfer) error {
-	records := transfer.Records
+	rest := transfer.Records
 	transfer.Records = nil
-	args := AcceptArgs{Transfer: transfer}
-	for {
-		args.Transfer.Records, records = splitRecords(records)
-		args.Last = len(records) == 0
+	for part := 0; ; part++ {
+		args := AcceptArgs{Part: part, Last: len(rest) == 0, Transfer: transfer}
 		var reply AcceptReply
 		if err := d.options.Peers.Call(ctx, to, "Request.Accept", &args, &reply); err != nil {
 			return err
@@ -136,8 +142,8 @@
 		if args.Last {
 			return nil
 		}
-		args.Part++
-		args.Transfer.Window = ticket.Window{}
+		transfer.Window = ticket.Window{}
+		transfer.Records, rest = splitRecords(rest)
 	}
 }
 
@@ -160,7 +166,7 @@
 	if d.books[id] != nil {
 		return nil
 	}
-	if d.draining {
+	if d.draining || len(d.books) >= maxLedgers || len(d.incoming) >= maxLedgers {
 		delete(d.incoming, id)
 		reply.Refused = true
 		return nil
@@ -168,16 +174,38 @@
 	if args.Part == 0 {
 		first := args.Transfer
 		d.incoming[id] = &first
+		d.begun[id] = d.options.Now()
 	} else if err := d.appendPart(id, args); err != nil {
 		return err
 	}
 	if args.Last {
-		d.books[id] = newBook(ticket.Adopt(d.ledgerBounds(), *d.incoming[id]))
+		b := newBook(ticket.Adopt(d.ledgerBounds(), *d.incoming[id]))
+		b.until = d.options.Now().Add(d.limits.TicketLife + d.limits.KeepResults)
+		d.books[id] = b
 		delete(d.incoming, id)
+		delete(d.begun, id)
 	}
 	return nil
 }
 
+// dropLedgers forgets ledgers whose tickets and results have all expired, and
+// transfers that were begun but not completed.
+func (d *Dispatcher) dropLedgers(now time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for id, b := range d.books {
+		if !b.until.IsZero() && now.After(b.until) {
+			delete(d.books, id)
+		}
+	}
+	for id, begun := range d.begun {
+		if now.Sub(begun) > incomingTimeout {
+			delete(d.incoming, id)
+			delete(d.begun, id)
+		}
+	}
+}
+
 func (d *Dispatcher) appendPart(id host.Incarnation, args *AcceptArgs) error {
 	incoming := d.incoming[id]
 	if incoming == nil {
--- a/internal/dispatch/holder_test.go
+++ b/internal/dispatch/holder_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/onsi/gomega"
 
+	"github.com/oatlatch/oatlatch/internal/dispatch"
 	"github.com/oatlatch/oatlatch/internal/host"
 )
 
@@ -104,3 +105,29 @@
 		t.Errorf("got %s", got)
 	}
 }
+
+func TestLargeLedgersAndBodiesFitIntoMessagesBetweenHosts(t *testing.T) {
+	c := newCluster(t, clusterOptions{hosts: 3, upstreams: 2, slots: 3})
+	issuer := c.node("entry-0")
+	body := make([]byte, 512<<10)
+	ticket := freshTicket(t, issuer)
+	header := http.Header{dispatch.HeaderTicket: {ticket}, "X-Request-Id": {"large"}}
+	for _, id := range []host.ID{"entry-1", "entry-0"} {
+		resp, _ := exchange(t, c.node(id), http.MethodPost, "/book?bytes=520000", header, body)
+		if outcomeOf(resp) != "answered/ok" {
+			t.Fatalf("at %s: %s", id, outcomeOf(resp))
+		}
+	}
+	for range 5 {
+		header.Set(dispatch.HeaderTicket, freshTicket(t, issuer))
+		exchange(t, issuer, http.MethodPost, "/book?bytes=300000", header, nil)
+	}
+	if summary, err := c.stop("entry-0"); err != nil || summary.Ledgers[0].Records != 6 {
+		t.Fatalf("handover: %+v, %v", summary, err)
+	}
+	header.Set(dispatch.HeaderTicket, ticket)
+	resp, got := exchange(t, c.node("entry-1"), http.MethodPost, "/book?bytes=520000", header, body)
+	if outcomeOf(resp) != "answered/ok" || len(got) < 520_000 {
+		t.Errorf("repeat after the handover: %s with %d bytes", outcomeOf(resp), len(got))
+	}
+}
--- a/internal/dispatch/options.go
+++ b/internal/dispatch/options.go
@@ -41,7 +41,8 @@
 	QuietTime time.Duration
 	// MaxHeaderBytes bounds the headers of requests and answers.
 	MaxHeaderBytes int
-	// MaxBodyBytes bounds the body of a non-idempotent request.
+	// MaxBodyBytes bounds the body of a non-idempotent request. With the headers
+	// it must fit into one message between hosts, as must an answer.
 	MaxBodyBytes int64
 	// MaxAnswerBytes bounds the answer to a non-idempotent request.
 	MaxAnswerBytes int64
@@ -70,14 +71,14 @@
 	defaultRelayTimeout    = time.Second
 	defaultQuietTime       = time.Second
 	defaultMaxHeaderBytes  = 32 << 10
-	defaultMaxBodyBytes    = 1 << 20
-	defaultMaxAnswerBytes  = 1 << 20
+	defaultMaxBodyBytes    = 512 << 10
+	defaultMaxAnswerBytes  = 512 << 10
 	defaultQueueLimit      = 256
 	defaultTicketLife      = 10 * time.Minute
 	defaultKeepResults     = 15 * time.Minute
 	defaultMaxResults      = 20_000
 	defaultMaxResultBytes  = 16 << 20
-	defaultMaxTickets      = 8 << 20
+	defaultMaxTickets      = 2 << 20
 	defaultRetryRatio      = 0.1
 )
 
--- a/internal/dispatch/relay.go
+++ b/internal/dispatch/relay.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"slices"
 	"time"
 
 	"github.com/oatlatch/oatlatch/internal/admission"
 	"github.com/oatlatch/oatlatch/internal/host"
+	"github.com/oatlatch/oatlatch/internal/peer"
 	"github.com/oatlatch/oatlatch/internal/service"
 	"github.com/oatlatch/oatlatch/internal/ticket"
 )
@@ -143,22 +145,49 @@
 }
 
 // ask calls one host, and once more when the connection failed: a repeat of the
-// ticket joins the run that the first call may have begun.
+// ticket joins the run that the first call may have begun. A call that was not
+// sent because too many are in flight is tried again until ctx ends.
 func (d *Dispatcher) ask(ctx context.Context, to host.ID, args RelayArgs) (RelayReply, error) {
-	deadline, _ := ctx.Deadline()
-	var err error
-	for range relayTries {
-		args.LeftMs = max(1, time.Until(deadline).Milliseconds())
-		var reply RelayReply
-		err = d.options.Peers.Call(ctx, to, "Request.Relay", &args, &reply)
+	pause := firstLendPause
+	for tries := 0; ; {
+		reply, err := d.askOnce(ctx, to, args)
 		if err == nil {
-			d.metrics.relays.WithLabelValues("answered").Inc()
 			return reply, nil
 		}
-		d.metrics.relays.WithLabelValues("failed").Inc()
-		if ctx.Err() != nil {
-			break
+		busy := errors.Is(err, &peer.Error{Kind: peer.Busy})
+		if !busy {
+			tries++
 		}
+		if tries == relayTries || ctx.Err() != nil || (busy && !sleep(ctx, pause)) {
+			return RelayReply{}, err
+		}
+		pause = min(2*pause, lastLendPause)
+	}
+}
+
+// askOnce calls with arguments of its own, which the call may still be encoding
+// after it has returned.
+func (d *Dispatcher) askOnce(ctx context.Context, to host.ID, args RelayArgs) (RelayReply, error) {
+	deadline, _ := ctx.Deadline()
+	args.LeftMs = max(1, time.Until(deadline).Milliseconds())
+	var reply RelayReply
+	err := d.options.Peers.Call(ctx, to, "Request.Relay", &args, &reply)
+	if err != nil {
+		d.metrics.relays.WithLabelValues("failed").Inc()
+		return RelayReply{}, err
+	}
+	d.metrics.relays.WithLabelValues("answered").Inc()
+	return reply, nil
+}
+
+// sleep waits and says whether ctx has not ended.
+func sleep(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
 	}
-	return RelayReply{}, err
 }
--- a/internal/dispatch/stop.go
+++ b/internal/dispatch/stop.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"net/http"
-	"time"
 )
 
 // Stop drains the dispatcher and shuts its server down without cutting a
@@ -23,11 +22,7 @@
 func (d *Dispatcher) awaitQuiet(ctx context.Context) {
 	left := d.limits.QuietTime
 	for left > 0 {
-		timer := time.NewTimer(left)
-		select {
-		case <-timer.C:
-		case <-ctx.Done():
-			timer.Stop()
+		if !sleep(ctx, left) {
 			return
 		}
 		left = d.limits.QuietTime - d.options.Now().Sub(d.metrics.lastBegun())
