Decide membership by a graph of contacts of bounded degree

Cause: hosts need to know who is alive at O(1) messages a second at any fleet size, and no member of a group may write another's death. Change: internal/membership is a state machine in which each host probes up to three others on rings (two within its data centre, one over all) and writes only its own record, which lists the hosts it lately heard; a host is live while a chain of such contacts leads to it. internal/member runs it over internal/peer. Before: no package.

--- /dev/null
+++ b/internal/member/main_test.go
@@ -0,0 +1,19 @@
+package member
+
+import (
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"go.uber.org/goleak"
+)
+
+func TestMain(m *testing.M) {
+	goleak.VerifyTestMain(m, goleak.IgnoreAnyFunction(
+		"github.com/onsi/ginkgo/v2/internal/interrupt_handler.(*InterruptHandler).registerForInterrupts.func2"))
+}
+
+func TestMember(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "member")
+}
--- /dev/null
+++ b/internal/membership/fleet_test.go
@@ -0,0 +1,267 @@
+package membership
+
+import (
+	"bytes"
+	"container/heap"
+	"encoding/gob"
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"time"
+
+	"github.com/oatlatch/oatlatch/internal/host"
+)
+
+const (
+	testLatency = 1500 * time.Microsecond
+	testTimeout = time.Second
+)
+
+// testStart is an arbitrary fixed time.
+var testStart = time.UnixMilli(1_800_000_000_000)
+
+// testHost is one process of the fleet.
+type testHost struct {
+	host  host.Host
+	node  *Node
+	alive bool
+	// frozen hosts neither step nor answer.
+	frozen bool
+	wake   time.Time
+	// sent counts what the host has sent.
+	messages, bytes int
+	// changes counts changes of the view.
+	changes int
+}
+
+// event is a delivery or a wake-up.
+type event struct {
+	at  time.Time
+	seq int
+	run func()
+}
+
+type eventQueue []event
+
+func (q eventQueue) Len() int { return len(q) }
+func (q eventQueue) Less(i, j int) bool {
+	if q[i].at.Equal(q[j].at) {
+		return q[i].seq < q[j].seq
+	}
+	return q[i].at.Before(q[j].at)
+}
+func (q eventQueue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
+func (q *eventQueue) Push(x any)   { *q = append(*q, x.(event)) }
+func (q *eventQueue) Pop() any {
+	old := *q
+	last := old[len(old)-1]
+	*q = old[:len(old)-1]
+	return last
+}
+
+// fleet joins nodes by a message bus with a virtual clock.
+type fleet struct {
+	now    time.Time
+	queue  eventQueue
+	seq    int
+	random *rand.Rand
+	// hosts are in the order in which they started.
+	hosts     []*testHost
+	byAddress map[netip.AddrPort]*testHost
+	// loss is the fraction of messages that are lost.
+	loss float64
+	// cut reports whether two hosts cannot reach each other.
+	cut func(a, b *testHost) bool
+	// measure turns on the counting of bytes.
+	measure bool
+	scratch bytes.Buffer
+	encoder *gob.Encoder
+}
+
+func newFleet(seed uint64) *fleet {
+	f := &fleet{
+		now:       testStart,
+		random:    rand.New(rand.NewPCG(seed, 1)),
+		byAddress: make(map[netip.AddrPort]*testHost),
+	}
+	f.encoder = gob.NewEncoder(&f.scratch)
+	return f
+}
+
+func testAddress(i int) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(i >> 8), byte(i)}), 7000)
+}
+
+// start starts a process of host i in one of the data centres, which joins by host 0.
+func (f *fleet) start(i, dataCentres int) *testHost {
+	h := &testHost{alive: true, host: host.Host{
+		ID:             host.ID(fmt.Sprintf("dc-%d/entry-%d", i%dataCentres, i)),
+		Incarnation:    host.Incarnation(f.random.Uint64()),
+		DataCentre:     fmt.Sprintf("dc-%d", i%dataCentres),
+		Region:         "north",
+		PeerAddress:    testAddress(i),
+		PacketAddress:  testAddress(i),
+		RequestAddress: testAddress(i),
+	}}
+	h.node = New(f.now, Config{Self: h.host, Seed: f.random.Uint64(), Seeds: []netip.AddrPort{testAddress(0), testAddress(1)}})
+	f.hosts = append(f.hosts, h)
+	f.byAddress[h.host.PeerAddress] = h
+	f.step(h)
+	return h
+}
+
+// startAll starts n hosts, all at once, and lets them find each other.
+func (f *fleet) startAll(n, dataCentres int) {
+	for i := range n {
+		f.start(i, dataCentres)
+	}
+}
+
+func (f *fleet) schedule(after time.Duration, run func()) {
+	f.seq++
+	heap.Push(&f.queue, event{at: f.now.Add(after), seq: f.seq, run: run})
+}
+
+// step steps a host, sends its messages and schedules its next step.
+func (f *fleet) step(h *testHost) {
+	if !h.alive || h.frozen {
+		return
+	}
+	for _, send := range h.node.Step(f.now) {
+		f.send(h, send)
+	}
+	if h.node.TakeChanged() {
+		h.changes++
+	}
+	wake := h.node.Next()
+	if !wake.After(f.now) {
+		wake = f.now.Add(time.Millisecond)
+	}
+	if h.wake.After(f.now) && !wake.Before(h.wake) {
+		return
+	}
+	h.wake = wake
+	f.schedule(wake.Sub(f.now), func() {
+		if h.wake.Equal(f.now) {
+			f.step(h)
+		}
+	})
+}
+
+func (f *fleet) count(h *testHost, message Message) {
+	if !f.measure {
+		return
+	}
+	message.From = ""
+	f.scratch.Reset()
+	if err := f.encoder.Encode(message); err != nil {
+		panic(err)
+	}
+	h.messages++
+	h.bytes += f.scratch.Len()
+}
+
+// lost draws whether a message from one host to the other arrives.
+func (f *fleet) lost(from, to *testHost) bool {
+	return to == nil || !to.alive || to.frozen || f.cut != nil && f.cut(from, to) || f.random.Float64() < f.loss
+}
+
+func (f *fleet) send(from *testHost, send Send) {
+	f.count(from, send.Message)
+	to := f.byAddress[send.To.Address]
+	fail := func(after time.Duration) {
+		f.schedule(after, func() {
+			if from.alive {
+				from.node.Failed(f.now, send)
+				f.step(from)
+			}
+		})
+	}
+	if f.lost(from, to) || send.To.ID != "" && to.host.ID != send.To.ID {
+		fail(testTimeout)
+		return
+	}
+	f.schedule(testLatency, func() {
+		if !to.alive || to.frozen {
+			fail(testTimeout - testLatency)
+			return
+		}
+		answer := to.node.Request(f.now, send.Message)
+		f.count(to, answer)
+		f.step(to)
+		if f.lost(to, from) {
+			fail(testTimeout - testLatency)
+			return
+		}
+		f.schedule(testLatency, func() {
+			if from.alive {
+				from.node.Answered(f.now, send, answer)
+				f.step(from)
+			}
+		})
+	})
+}
+
+// run lets the given time pass and calls check after every event.
+func (f *fleet) run(duration time.Duration, check func()) {
+	end := f.now.Add(duration)
+	for len(f.queue) > 0 && !f.queue[0].at.After(end) {
+		next := heap.Pop(&f.queue).(event)
+		f.now = next.at
+		next.run()
+		if check != nil {
+			check()
+		}
+	}
+	f.now = end
+}
+
+// runUntil lets time pass until done or the limit and returns the time it took.
+func (f *fleet) runUntil(limit time.Duration, done func() bool) (time.Duration, bool) {
+	began := f.now
+	for f.now.Sub(began) < limit {
+		if done() {
+			return f.now.Sub(began), true
+		}
+		f.run(20*time.Millisecond, nil)
+	}
+	return limit, done()
+}
+
+// running lists the hosts that are alive.
+func (f *fleet) running() []*testHost {
+	var running []*testHost
+	for _, h := range f.hosts {
+		if h.alive {
+			running = append(running, h)
+		}
+	}
+	return running
+}
+
+// owners is the set of members that a host believes to own slots or to be leaving.
+func (h *testHost) owners() map[host.ID]host.Incarnation {
+	owners := make(map[host.ID]host.Incarnation)
+	for _, member := range h.node.View().Members {
+		if member.State != Dead {
+			owners[member.Host.ID] = member.Host.Incarnation
+		}
+	}
+	return owners
+}
+
+// agreed reports whether each of the hosts sees exactly the hosts.
+func agreed(hosts []*testHost) bool {
+	for _, h := range hosts {
+		owners := h.owners()
+		if len(owners) != len(hosts) {
+			return false
+		}
+		for _, other := range hosts {
+			if owners[other.host.ID] != other.host.Incarnation {
+				return false
+			}
+		}
+	}
+	return true
+}
