Prove that draining upstreams cuts no request

Cause: drains of upstreams, joining upstreams, HTTP/2 and downloads in the histories were not tested.

--- /dev/null
+++ b/internal/dispatch/drain_test.go
@@ -0,0 +1,142 @@
+package dispatch_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"github.com/oatlatch/oatlatch/internal/health"
+	"github.com/oatlatch/oatlatch/internal/standin/upstream"
+)
+
+// setState gives all hosts a view in which one upstream has a state.
+func (c *cluster) setState(index int, state health.State, ramp float64) {
+	var view health.View
+	for i, u := range c.snapshot.Services[0].Upstreams {
+		one := health.Upstream{Service: 7, Name: u.Name, State: health.Up}
+		if i == index {
+			one.State, one.Ramp = state, ramp
+		}
+		view.Upstreams = append(view.Upstreams, one)
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, n := range c.nodes {
+		n.dispatcher.SetUpstreams(view)
+	}
+}
+
+// inUse counts the slots in use at an upstream over all hosts.
+func (c *cluster) inUse(index int) int {
+	total := 0
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, n := range c.nodes {
+		for _, s := range n.dispatcher.Status().Services[0].Upstreams {
+			if s.Upstream == c.snapshot.Services[0].Upstreams[index].Name {
+				total += s.InUse
+			}
+		}
+	}
+	return total
+}
+
+func TestDrainingUpstreamsCutsNothingAndGetsNoNewWork(t *testing.T) {
+	c := newCluster(t, clusterOptions{hosts: 4, upstreams: 4, slots: 3, work: time.Millisecond})
+	next := 0
+	r := record(c, 7, 100, func(*rand.Rand) {
+		index := next % 4
+		next++
+		c.upstreams[index].Drain()
+		c.setState(index, health.Draining, 0)
+		gomega.NewWithT(t).Eventually(func() int { return c.upstreams[index].Present() }).Should(gomega.BeZero())
+		before := len(c.upstreams[index].Runs())
+		shed := c.upstreams[index].ShedCount()
+		gomega.NewWithT(t).Eventually(func() int { return c.inUse(index) }).Should(gomega.BeZero())
+		if got := len(c.upstreams[index].Runs()); got != before {
+			t.Errorf("a drained upstream got %d more runs", got-before)
+		}
+		if got := c.upstreams[index].ShedCount(); got > shed+4 {
+			t.Errorf("a drained upstream shed %d more requests", got-shed)
+		}
+		c.upstreams[index].Resume()
+		c.setState(index, health.Up, 0)
+	})
+	r.check(t)
+	for label, n := range r.tells {
+		if strings.HasPrefix(label, "unknown") || label == "none/broken" {
+			t.Errorf("%d requests were told %s", n, label)
+		}
+	}
+}
+
+func TestJoiningUpstreamTakesOneRequestAtOnceOverAllHosts(t *testing.T) {
+	c := newCluster(t, clusterOptions{hosts: 4, upstreams: 2, slots: 4, work: 3 * time.Millisecond, queue: 1000})
+	c.setState(0, health.Joining, 0.1)
+	counts := flood(c, 24, 10, http.MethodGet)
+	if peak := c.upstreams[0].Peak(); peak != 1 {
+		t.Errorf("the cold upstream held %d requests at once, the warm one %d: %v", peak, c.upstreams[1].Peak(), counts)
+	}
+}
+
+func TestUpstreamsAreUsedWhenAllLookBad(t *testing.T) {
+	c := newCluster(t, clusterOptions{hosts: 1, upstreams: 2, slots: 3})
+	var view health.View
+	for _, u := range c.snapshot.Services[0].Upstreams {
+		view.Upstreams = append(view.Upstreams, health.Upstream{Service: 7, Name: u.Name, State: health.Suspect})
+	}
+	n := c.node("entry-0")
+	n.dispatcher.SetUpstreams(view)
+	if resp, _ := exchange(t, n, http.MethodGet, "/", nil, nil); outcomeOf(resp) != "answered/ok" {
+		t.Errorf("all suspect: %s", outcomeOf(resp))
+	}
+	for i := range view.Upstreams {
+		view.Upstreams[i].State = health.Gone
+	}
+	n.dispatcher.SetUpstreams(view)
+	resp, _ := exchange(t, n, http.MethodGet, "/", nil, nil)
+	if outcomeOf(resp) != "not-run/no-upstream" || resp.Header.Get("Retry-After") == "" {
+		t.Errorf("all gone: %s", outcomeOf(resp))
+	}
+}
+
+func TestUnencryptedHTTP2(t *testing.T) {
+	c := newCluster(t, clusterOptions{hosts: 1, upstreams: 1, slots: 3})
+	protocols := new(http.Protocols)
+	protocols.SetUnencryptedHTTP2(true)
+	transport := &http.Transport{Protocols: protocols}
+	t.Cleanup(transport.CloseIdleConnections)
+	get := func(id string) (string, error) {
+		request, _ := http.NewRequestWithContext(context.Background(), http.MethodGet, "http://"+c.node("entry-0").address+"/plan?bytes=200000", nil)
+		request.Host = requestHost
+		request.Header.Set("X-Request-Id", id)
+		resp, err := transport.RoundTrip(request)
+		if err != nil {
+			return "", err
+		}
+		defer resp.Body.Close()
+		if resp.ProtoMajor != 2 {
+			return "", fmt.Errorf("answered in %s", resp.Proto)
+		}
+		body, err := io.ReadAll(resp.Body)
+		return string(body), err
+	}
+	for _, at := range []int{1000, 70_000, 150_000} {
+		c.upstreams[0].SetFaults(upstream.Faults{CloseAnswerAt: at})
+		body, err := get("cut")
+		if err == nil && strings.HasPrefix(body, "request cut") {
+			t.Errorf("an answer of %d bytes cut at %d passed for whole", len(body), at)
+		}
+	}
+	c.upstreams[0].SetFaults(upstream.Faults{})
+	if body, err := get("whole"); err != nil || body != string(upstream.Answer("whole", nil, 200000)) {
+		t.Errorf("got %d bytes: %v", len(body), err)
+	}
+}
--- a/internal/dispatch/history_test.go
+++ b/internal/dispatch/history_test.go
@@ -150,6 +150,27 @@
 	return outcome, fresh
 }
 
+// download gets a plan and checks that what passes for whole is whole and its own.
+func (s *sender) download(id string) {
+	addresses := s.cluster.addresses()
+	size := s.rand.IntN(150_000)
+	request, _ := http.NewRequest(http.MethodGet, fmt.Sprintf("http://%s/plan?bytes=%d", addresses[s.rand.IntN(len(addresses))], size), nil)
+	request.Host = requestHost
+	request.Header.Set("X-Request-Id", "plan-"+id)
+	request.Header.Set(dispatch.HeaderDeadline, "400")
+	resp, err := s.client.Do(request)
+	if err != nil {
+		return
+	}
+	defer resp.Body.Close()
+	got, err := io.ReadAll(resp.Body)
+	if err == nil && resp.Header.Get(dispatch.HeaderOutcome) == "answered" && !bytes.Equal(got, upstream.Answer("plan-"+id, nil, size)) {
+		s.recorder.mu.Lock()
+		defer s.recorder.mu.Unlock()
+		s.recorder.corrupt++
+	}
+}
+
 // run sends requests, each under its own ticket, with repeats and late duplicates.
 func (s *sender) run(requests int, progress *atomic.Int64) {
 	ticket := ""
@@ -172,6 +193,9 @@
 				break
 			}
 		}
+		if i%4 == 0 {
+			s.download(id)
+		}
 		i++
 		progress.Add(1)
 	}
@@ -202,6 +226,9 @@
 	}
 	for i, u := range c.upstreams {
 		for _, run := range u.Runs() {
+			if run.Method == http.MethodGet {
+				continue
+			}
 			r.history = append(r.history, porcupine.Operation{
 				ClientId: 8 + i, Input: step{id: run.RequestID, run: true}, Output: "",
 				Call: run.Started.UnixNano(), Return: run.Started.UnixNano(),
--- a/internal/standin/upstream/upstream.go
+++ b/internal/standin/upstream/upstream.go
@@ -156,6 +156,13 @@
 	return u.peak
 }
 
+// Present returns the number of requests that run or wait for a slot.
+func (u *Upstream) Present() int {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.present
+}
+
 // ShedCount returns the number of requests refused before they ran.
 func (u *Upstream) ShedCount() int {
 	u.mu.Lock()
