Decide upstream states from distrusted checks and load reports

Cause: hosts need one view of upstreams (joining, up, suspect, draining, gone) that misleading health and load endpoints do not upset.

--- a/internal/health/view.go
+++ b/internal/health/view.go
@@ -37,6 +37,8 @@
 	Load float64
 	// LoadAt is when Load was received.
 	LoadAt time.Time
+	// LoadDoubt says why the last load report was not believed as it was, or is empty.
+	LoadDoubt Doubt
 	// Ramp is the fraction of its full share that a Joining upstream may take, from 0 to 1.
 	Ramp float64
 }
--- /dev/null
+++ b/internal/probe/runner_test.go
@@ -0,0 +1,140 @@
+package probe
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/rs/zerolog"
+	"go.uber.org/goleak"
+
+	"github.com/oatlatch/oatlatch/internal/config"
+	"github.com/oatlatch/oatlatch/internal/health"
+	"github.com/oatlatch/oatlatch/internal/service"
+)
+
+func TestMain(m *testing.M) {
+	goleak.VerifyTestMain(m, goleak.IgnoreAnyFunction(
+		"github.com/onsi/ginkgo/v2/internal/interrupt_handler.(*InterruptHandler).registerForInterrupts.func2"))
+}
+
+func TestProbe(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "probe")
+}
+
+// fakeUpstream answers health checks and load reports.
+type fakeUpstream struct {
+	server   *httptest.Server
+	draining atomic.Bool
+	broken   atomic.Bool
+}
+
+func newFakeUpstream() *fakeUpstream {
+	u := &fakeUpstream{}
+	mux := http.NewServeMux()
+	mux.HandleFunc("/health", func(w http.ResponseWriter, _ *http.Request) {
+		switch {
+		case u.draining.Load():
+			w.Header().Set(drainingHeader, "true")
+			w.WriteHeader(http.StatusServiceUnavailable)
+		case u.broken.Load():
+			w.WriteHeader(http.StatusInternalServerError)
+		}
+	})
+	mux.HandleFunc("/load", func(w http.ResponseWriter, _ *http.Request) {
+		_ = json.NewEncoder(w).Encode(health.Report{Load: 0.5, SlotsInUse: 1, Connections: 50})
+	})
+	u.server = httptest.NewServer(mux)
+	DeferCleanup(u.server.Close)
+	return u
+}
+
+func (u *fakeUpstream) address() netip.AddrPort {
+	return netip.MustParseAddrPort(u.server.Listener.Addr().String())
+}
+
+func snapshotOf(healthPath, loadPath string, upstreams ...*fakeUpstream) *config.Snapshot {
+	s := service.Service{
+		Name: "call-desk", ID: 1, HealthPath: healthPath, LoadPath: loadPath,
+		DrainLimit: time.Minute, SlowStart: time.Minute,
+	}
+	for i, u := range upstreams {
+		s.Upstreams = append(s.Upstreams, service.Upstream{
+			Name: string(rune('a' + i)), Address: u.address(), Weight: 1, Slots: 2, Connections: 100, State: service.AdminActive,
+		})
+	}
+	return &config.Snapshot{Services: []service.Service{s}}
+}
+
+// startRunner runs a runner until the spec ends.
+func startRunner() *Runner {
+	r := New(Options{Logger: zerolog.Nop(), Registerer: prometheus.NewRegistry(), Seed: 1})
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- r.Run(ctx) }()
+	DeferCleanup(func() {
+		cancel()
+		Eventually(ended, "5s").Should(Receive(BeNil()))
+	})
+	return r
+}
+
+// states returns the state of each upstream by name.
+func states(r *Runner) func() map[string]health.State {
+	return func() map[string]health.State {
+		found := make(map[string]health.State)
+		for _, upstream := range r.View().Upstreams {
+			found[upstream.Name] = upstream.State
+		}
+		return found
+	}
+}
+
+var _ = Describe("checks of upstreams", func() {
+	It("tells healthy, failing, draining and stopped ones apart and reads loads", func() {
+		ups := []*fakeUpstream{newFakeUpstream(), newFakeUpstream(), newFakeUpstream(), newFakeUpstream(), newFakeUpstream(), newFakeUpstream()}
+		ups[1].broken.Store(true)
+		ups[2].draining.Store(true)
+		snapshot := snapshotOf("/health", "/load", ups...)
+		ups[3].server.Close()
+		r := startRunner()
+		r.Adopt(snapshot)
+		Eventually(states(r), "5s").Should(Equal(map[string]health.State{
+			"a": health.Up, "b": health.Suspect, "c": health.Draining, "d": health.Suspect, "e": health.Up, "f": health.Up,
+		}))
+		Eventually(func() float64 { return r.View().Upstreams[0].Load }, "3s").Should(Equal(0.5))
+		Expect(r.Status()[0].Service).To(Equal("call-desk"))
+		ups[0].draining.Store(true)
+		Eventually(states(r), "3s").Should(HaveKeyWithValue("a", health.Draining))
+	})
+
+	It("connects over TCP without a path and believes a refusal", func() {
+		up, down, third := newFakeUpstream(), newFakeUpstream(), newFakeUpstream()
+		snapshot := snapshotOf("", "", up, down, third)
+		down.server.Close()
+		r := startRunner()
+		r.Adopt(snapshot)
+		Eventually(states(r), "5s").Should(Equal(map[string]health.State{"a": health.Up, "b": health.Suspect, "c": health.Up}))
+	})
+
+	It("is not held up by an upstream that never answers", func() {
+		silent := &fakeUpstream{server: httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, request *http.Request) {
+			<-request.Context().Done()
+		}))}
+		DeferCleanup(silent.server.Close)
+		good, third := newFakeUpstream(), newFakeUpstream()
+		r := startRunner()
+		r.Adopt(snapshotOf("/health", "/load", good, silent, third))
+		Eventually(states(r), "8s").Should(Equal(map[string]health.State{"a": health.Up, "b": health.Suspect, "c": health.Up}))
+		Expect(r.View().Upstreams[0].Load).To(Equal(0.5))
+	})
+})
