Shorten tickets and take closing and eviction off the request's path

Cause: profiles showed JSON tickets (12 us of a request), closing the single-use connection before the answer (28 us) and a scan of all kept results at each new one once 20,000 are kept. Change: tickets in varints, close and the next connection in the background, eviction from the oldest end.

--- a/internal/dispatch/once.go
+++ b/internal/dispatch/once.go
@@ -96,9 +96,6 @@
 	ctx, cancel := context.WithTimeout(context.Background(), left)
 	defer cancel()
 	result := d.exchangeOnce(ctx, r, slot.upstream, t, j, left)
-	if result.Outcome == admission.Answered {
-		d.background.Go(func() { d.sender.prepare(r.addresses[slot.upstream]) })
-	}
 	result.Upstream = slot.upstream
 	busy := time.Duration(0)
 	if result.Outcome != admission.NotRun {
@@ -118,7 +115,10 @@
 	if err != nil {
 		return unknown(reasonOf(ctx, admission.ReasonUpstreamReset))
 	}
-	defer resp.Body.Close()
+	defer d.background.Go(func() {
+		resp.Body.Close()
+		d.sender.prepare(r.addresses[upstream])
+	})
 	if crossed(resp, out) {
 		return unknown(admission.ReasonAnswerCrossed)
 	}
--- a/internal/ticket/keyring.go
+++ b/internal/ticket/keyring.go
@@ -7,14 +7,6 @@
 	"time"
 )
 
-// namedKey is a MAC key with its name.
-type namedKey struct {
-	id     string
-	secret []byte
-	// until is when a key that has left the configuration is forgotten.
-	until time.Time
-}
-
 // Keyring holds the MAC keys of tickets.
 type Keyring struct {
 	keys    []namedKey
@@ -33,7 +25,7 @@
 	k.retired = slices.DeleteFunc(k.retired, func(r namedKey) bool { return now.After(r.until) })
 	k.keys = nil
 	for _, secret := range keys {
-		k.keys = append(k.keys, namedKey{id: keyID(secret), secret: bytes.Clone(secret)})
+		k.keys = append(k.keys, newNamedKey(bytes.Clone(secret)))
 	}
 }
 
@@ -54,7 +46,7 @@
 		if key.id != e.ticket.KeyID {
 			continue
 		}
-		if hmac.Equal(sum(e.payload, key.secret), e.mac) {
+		if hmac.Equal(key.appendMAC(nil, e.payload), e.mac) {
 			return e.ticket, nil
 		}
 		return Ticket{}, &Error{Kind: Forged}
--- a/internal/ticket/ledger.go
+++ b/internal/ticket/ledger.go
@@ -80,7 +80,7 @@
 		Incarnation: l.options.Incarnation,
 		Sequence:    l.next,
 		Service:     id,
-		ExpiresMs:   now.Add(l.options.Life).UnixMilli(),
+		ExpiresMs:   uint64(now.Add(l.options.Life).UnixMilli()),
 	}
 }
 
@@ -217,27 +217,22 @@
 }
 
 // evict drops the oldest finished records that exceed the bounds; their states
-// stay in the window.
+// stay in the window. Records in progress keep their place.
 func (l *Ledger) evict(now time.Time) {
-	if !l.evictable(now) {
-		return
-	}
-	kept := l.order[:0]
-	for _, sequence := range l.order {
-		record := l.records[sequence]
-		if record.Done && (l.over() || l.old(now, record)) {
-			l.bytes -= record.Result.size()
-			delete(l.records, sequence)
+	var running []uint64
+	next := 0
+	for ; next < len(l.order) && (l.over() || l.old(now, l.records[l.order[next]])); next++ {
+		record := l.records[l.order[next]]
+		if !record.Done {
+			running = append(running, record.Sequence)
 			continue
 		}
-		kept = append(kept, sequence)
+		l.bytes -= record.Result.size()
+		delete(l.records, record.Sequence)
 	}
-	l.order = kept
-}
-
-// evictable says whether the oldest record is too old or the bounds are exceeded.
-func (l *Ledger) evictable(now time.Time) bool {
-	return l.over() || (len(l.order) > 0 && l.old(now, l.records[l.order[0]]))
+	first := next - len(running)
+	copy(l.order[first:], running)
+	l.order = l.order[first:]
 }
 
 func (l *Ledger) over() bool {
--- a/internal/ticket/ticket.go
+++ b/internal/ticket/ticket.go
@@ -3,12 +3,9 @@
 package ticket
 
 import (
-	"crypto/hmac"
 	"crypto/sha256"
 	"encoding/base64"
-	"encoding/json"
-	"fmt"
-	"strings"
+	"encoding/binary"
 	"time"
 
 	"github.com/oatlatch/oatlatch/internal/host"
@@ -21,18 +18,18 @@
 // Ticket allows one run of one request. Only the incarnation that issued it, or
 // the successor that was given its ledger, may dispatch it.
 type Ticket struct {
-	Issuer      host.ID          `json:"h"`
-	Incarnation host.Incarnation `json:"i"`
-	Sequence    uint64           `json:"s"`
-	Service     service.ID       `json:"v"`
+	Issuer      host.ID
+	Incarnation host.Incarnation
+	Sequence    uint64
+	Service     service.ID
 	// ExpiresMs is the issuer's clock in milliseconds since the Unix epoch.
-	ExpiresMs int64 `json:"e"`
+	ExpiresMs uint64
 	// KeyID names the MAC key.
-	KeyID string `json:"k"`
+	KeyID uint32
 }
 
 // Expired says whether the ticket may no longer be dispatched.
-func (t Ticket) Expired(now time.Time) bool { return now.UnixMilli() >= t.ExpiresMs }
+func (t Ticket) Expired(now time.Time) bool { return uint64(now.UnixMilli()) >= t.ExpiresMs }
 
 // encoded is a ticket split into its parts.
 type encoded struct {
@@ -43,52 +40,65 @@
 
 // Encode returns the wire form of the ticket under the key.
 func Encode(t Ticket, key []byte) string {
-	return encode(t, namedKey{id: keyID(key), secret: key})
+	return encode(t, newNamedKey(key))
 }
 
 func encode(t Ticket, key namedKey) string {
 	t.KeyID = key.id
-	payload, err := json.Marshal(t)
-	if err != nil {
-		panic(fmt.Sprintf("ticket: encode: %v", err))
+	payload := t.appendTo(make([]byte, 0, payloadCapacity))
+	return base64.RawURLEncoding.EncodeToString(key.appendMAC(payload, payload))
+}
+
+// payloadCapacity holds a payload with an issuer of usual length and its MAC.
+const payloadCapacity = 128
+
+// appendTo appends the payload: the numbers as unsigned varints and then the issuer.
+func (t Ticket) appendTo(payload []byte) []byte {
+	payload = binary.BigEndian.AppendUint32(payload, t.KeyID)
+	payload = binary.AppendUvarint(payload, uint64(t.Incarnation))
+	payload = binary.AppendUvarint(payload, t.Sequence)
+	payload = binary.AppendUvarint(payload, uint64(t.Service))
+	payload = binary.AppendUvarint(payload, t.ExpiresMs)
+	return append(payload, t.Issuer...)
+}
+
+// parse reads a payload.
+func parse(payload []byte) (Ticket, bool) {
+	if len(payload) < keyIDBytes {
+		return Ticket{}, false
+	}
+	t := Ticket{KeyID: binary.BigEndian.Uint32(payload)}
+	payload = payload[keyIDBytes:]
+	var incarnation, id uint64
+	for _, field := range []*uint64{&incarnation, &t.Sequence, &id, &t.ExpiresMs} {
+		value, n := binary.Uvarint(payload)
+		if n <= 0 {
+			return Ticket{}, false
+		}
+		*field = value
+		payload = payload[n:]
 	}
-	encoding := base64.RawURLEncoding
-	return encoding.EncodeToString(payload) + "." + encoding.EncodeToString(sum(payload, key.secret))
+	t.Incarnation = host.Incarnation(incarnation)
+	t.Service = service.ID(id)
+	t.Issuer = host.ID(payload)
+	return t, id <= uint64(service.MaxID)
 }
 
 func decode(raw string) (encoded, error) {
 	if len(raw) > MaxLength {
 		return encoded{}, &Error{Kind: Malformed, Detail: "longer than the limit"}
 	}
-	head, tail, found := strings.Cut(raw, ".")
-	if !found {
-		return encoded{}, &Error{Kind: Malformed, Detail: "no MAC"}
-	}
-	payload, err := base64.RawURLEncoding.Strict().DecodeString(head)
+	data, err := base64.RawURLEncoding.Strict().DecodeString(raw)
 	if err != nil {
-		return encoded{}, &Error{Kind: Malformed, Detail: "payload encoding"}
+		return encoded{}, &Error{Kind: Malformed, Detail: "encoding"}
 	}
-	mac, err := base64.RawURLEncoding.Strict().DecodeString(tail)
-	if err != nil {
-		return encoded{}, &Error{Kind: Malformed, Detail: "MAC encoding"}
+	if len(data) < sha256.Size {
+		return encoded{}, &Error{Kind: Malformed, Detail: "too short"}
 	}
-	var t Ticket
-	if err := json.Unmarshal(payload, &t); err != nil {
+	payload, mac := data[:len(data)-sha256.Size], data[len(data)-sha256.Size:]
+	t, ok := parse(payload)
+	if !ok {
 		return encoded{}, &Error{Kind: Malformed, Detail: "payload"}
 	}
 	return encoded{ticket: t, payload: payload, mac: mac}, nil
 }
-
-func sum(payload, key []byte) []byte {
-	h := hmac.New(sha256.New, key)
-	h.Write(payload)
-	return h.Sum(nil)
-}
-
-// keyIDLength is the number of hexadecimal digits that name a key.
-const keyIDLength = 8
-
-func keyID(key []byte) string {
-	digest := sha256.Sum256(append([]byte("oatlatch ticket key id"), key...))
-	return fmt.Sprintf("%x", digest[:])[:keyIDLength]
-}
