--- a/callers/client.go
+++ b/callers/client.go
@@ -88,7 +88,7 @@
 }
 
 // doOnce sends a non-idempotent request under one ticket. It takes another
-// ticket only after a host has said that the request did not run.
+// ticket only when the request is known not to have run.
 func (c *Client) doOnce(ctx context.Context, r Request) (Answer, error) {
 	sends := 0
 	for {
@@ -97,7 +97,12 @@
 			return Answer{Outcome: NotRun, Reason: ReasonNoTicket, Sends: sends},
 				&OutcomeError{Outcome: NotRun, Reason: ReasonNoTicket, Cause: err}
 		}
+		before := sends
 		answer, err := c.sendTicket(ctx, r, ticket, &sends)
+		if answer.Reason == reasonTicketVoid && sends == before+1 {
+			answer.Outcome = NotRun
+			err = answer.err()
+		}
 		if answer.Outcome != NotRun || !c.pause(ctx, answer, nil) {
 			return answer, err
 		}
@@ -173,10 +178,14 @@
 	}
 }
 
+// reasonTicketVoid says that no host may run the ticket any more. A request that
+// was sent under it only once cannot have run.
+const reasonTicketVoid = "ticket-void"
+
 // retryable says whether a fresh ticket helps.
 func retryable(reason string) bool {
 	switch reason {
-	case "ticket-expired", "ticket-refused", "ticket-forged", "ticket-foreign":
+	case "ticket-expired", "ticket-refused", "ticket-forged", "ticket-foreign", reasonTicketVoid:
 		return true
 	}
 	return false
@@ -192,6 +201,7 @@
 	for name, values := range r.Header {
 		request.Header[name] = values
 	}
+	request.GetBody = nil // The transport must not send the request again by itself.
 	request.Host = c.options.RequestHost
 	if deadline, ok := ctx.Deadline(); ok {
 		request.Header.Set(headerDeadline, strconv.FormatInt(max(1, time.Until(deadline).Milliseconds()), 10))
