Assemble the daemon from its duties

Cause: the duties (peers, membership, configuration, probes, packets, requests) run only as packages so far. Change: internal/daemon binds the addresses, builds each duty, hands the immutable views from one to the next and stops gracefully: announce, finish requests and hand their ledgers over, close connections, hand flows over. internal/admin serves status, explain, readiness and metrics. A second signal forces; SIGHUP reloads the keys.

--- a/cmd/oatlatchd/run.go
+++ b/cmd/oatlatchd/run.go
@@ -1,11 +1,86 @@
 package main
 
-import "github.com/oatlatch/oatlatch/internal/settings"
+import (
+	"context"
+	"crypto/rand"
+	"encoding/binary"
+	"errors"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/oatlatch/oatlatch/internal/daemon"
+	"github.com/oatlatch/oatlatch/internal/host"
+	"github.com/oatlatch/oatlatch/internal/logging"
+	"github.com/oatlatch/oatlatch/internal/settings"
+)
+
+// errForced is the exit reason after a second signal.
+var errForced = errors.New("stop forced by a second signal, work in progress was cut")
 
 // runCommand serves until a signal stops it.
 type runCommand struct {
 	settings.Settings `embed:""`
 }
 
-// Run checks the settings and serves.
-func (c *runCommand) Run() error { return c.Check() }
+// Run checks the settings and serves. SIGTERM or SIGINT stops gracefully, a
+// second one at once; SIGHUP reloads the keys.
+func (c *runCommand) Run() error {
+	if err := c.Check(); err != nil {
+		return err
+	}
+	logger, err := logging.New(os.Stdout, c.Log.Level)
+	if err != nil {
+		return err
+	}
+	d, err := daemon.New(daemon.Options{
+		Settings: c.Settings, Logger: logger, Now: time.Now,
+		Seed: randomUint64(), Incarnation: host.Incarnation(randomUint64()),
+	})
+	if err != nil {
+		return err
+	}
+	stop, force := handleSignals(d, logger)
+	if err := d.Run(stop, force); err != nil && !errors.Is(err, context.Canceled) {
+		return err
+	}
+	if force.Err() != nil {
+		return errForced
+	}
+	return nil
+}
+
+// handleSignals returns a context that ends at the first stop signal and one
+// that ends at the second.
+func handleSignals(d *daemon.Daemon, logger zerolog.Logger) (stop, force context.Context) {
+	stop, cancelStop := context.WithCancel(context.Background())
+	force, cancelForce := context.WithCancel(context.Background())
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	go func() {
+		for received := range signals {
+			switch {
+			case received == syscall.SIGHUP:
+				if err := d.ReloadKeys(); err != nil {
+					logger.Error().Err(err).Msg("reload failed")
+				}
+			case stop.Err() == nil:
+				cancelStop()
+			default:
+				cancelForce()
+				return
+			}
+		}
+	}()
+	return stop, force
+}
+
+func randomUint64() uint64 {
+	var buffer [8]byte
+	// crypto/rand.Read never fails (documented since Go 1.24).
+	_, _ = rand.Read(buffer[:])
+	return binary.LittleEndian.Uint64(buffer[:])
+}
--- /dev/null
+++ b/internal/daemon/build.go
@@ -0,0 +1,188 @@
+package daemon
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/netip"
+	"slices"
+
+	"github.com/oatlatch/oatlatch/internal/admin"
+	"github.com/oatlatch/oatlatch/internal/adopt"
+	"github.com/oatlatch/oatlatch/internal/dispatch"
+	"github.com/oatlatch/oatlatch/internal/forward"
+	"github.com/oatlatch/oatlatch/internal/host"
+	"github.com/oatlatch/oatlatch/internal/member"
+	"github.com/oatlatch/oatlatch/internal/membership"
+	"github.com/oatlatch/oatlatch/internal/peer"
+	"github.com/oatlatch/oatlatch/internal/platform"
+	"github.com/oatlatch/oatlatch/internal/probe"
+)
+
+func (d *Daemon) build() error {
+	steps := []func() error{
+		d.bind, d.buildPeers, d.buildPlatform, d.buildForwarder, d.buildDispatcher,
+		d.buildProbes, d.buildMembers, d.buildAdoption,
+	}
+	for _, step := range steps {
+		if err := step(); err != nil {
+			return err
+		}
+	}
+	d.registerPeerServices()
+	d.buildServers()
+	return nil
+}
+
+// bind opens the listeners of requests and admin and learns their ports.
+func (d *Daemon) bind() error {
+	s := &d.options.Settings
+	d.self = host.Host{
+		ID: host.ID(s.Host.ID), Incarnation: d.options.Incarnation,
+		DataCentre: s.Host.DataCentre, Region: s.Host.Region,
+	}
+	var err error
+	if d.requests, err = listen("request", s.Listen.Request); err != nil {
+		return err
+	}
+	d.self.RequestAddress = boundAddress(d.requests)
+	d.admin, err = listen("admin", s.Listen.Admin)
+	return err
+}
+
+func (d *Daemon) buildPeers() error {
+	s := &d.options.Settings
+	if s.TLS.CA != "" {
+		keys, err := peer.LoadTLS(peer.TLSFiles{CA: s.TLS.CA, Certificate: s.TLS.Certificate, Key: s.TLS.Key})
+		if err != nil {
+			return fmt.Errorf("settings:tls: %w", err)
+		}
+		d.keys = keys
+	}
+	server, err := peer.NewServer(peer.ServerOptions{
+		Self: d.self.ID, Listen: s.Listen.Peer, TLS: d.keys, Logger: d.options.Logger, Registerer: d.registry,
+	})
+	if err != nil {
+		return fmt.Errorf("settings:listen.peer: %w", err)
+	}
+	d.peerServer = server
+	d.self.PeerAddress = server.Addr()
+	d.peerClient = peer.NewClient(peer.ClientOptions{
+		Self: d.self.ID, TLS: d.keys, Logger: d.options.Logger, Registerer: d.registry, Now: d.options.Now,
+	})
+	return nil
+}
+
+func (d *Daemon) buildPlatform() error {
+	s := &d.options.Settings.Platform
+	port, err := platform.NewHTTP(platform.Options{
+		Addresses: s.Addresses, Token: s.Token, Deadline: s.Deadline, CallsPerSecond: s.CallsPerSecond,
+		Logger: d.options.Logger, Registerer: d.registry, Now: d.options.Now, Seed: d.options.Seed,
+	})
+	if err != nil {
+		return fmt.Errorf("settings:platform: %w", err)
+	}
+	d.platform = port
+	return nil
+}
+
+func (d *Daemon) buildForwarder() error {
+	s := &d.options.Settings
+	forwarder, err := forward.New(forward.Options{
+		Self: d.self, Listen: s.Listen.Packet, Workers: s.Limits.Workers, MaxFlows: s.Limits.Flows, Peers: d.peerClient,
+		Logger: d.options.Logger, Registerer: d.registry, Now: d.options.Now, Seed: d.options.Seed,
+	})
+	if err != nil {
+		return fmt.Errorf("settings:listen.packet: %w", err)
+	}
+	d.forwarder = forwarder
+	d.self.PacketAddress = forwarder.Addr()
+	return nil
+}
+
+func (d *Daemon) buildDispatcher() error {
+	d.dispatcher = dispatch.New(dispatch.Options{
+		Self: d.self, Peers: d.peerClient, Limits: d.requestLimits(),
+		Logger: d.options.Logger, Registerer: d.registry, Now: d.options.Now, Seed: d.options.Seed,
+	})
+	return nil
+}
+
+func (d *Daemon) requestLimits() dispatch.Limits {
+	s := &d.options.Settings.Limits
+	return dispatch.Limits{
+		MaxBodyBytes: s.RequestBody, MaxHeaderBytes: s.RequestHeader,
+		QueueLimit: s.Queue, DefaultDeadline: s.Deadline,
+	}
+}
+
+func (d *Daemon) buildProbes() error {
+	d.probes = probe.New(probe.Options{
+		Self: d.self, OnView: d.onUpstreams,
+		Logger: d.options.Logger, Registerer: d.registry, Now: d.options.Now, Seed: d.options.Seed,
+	})
+	return nil
+}
+
+func (d *Daemon) buildMembers() error {
+	d.members = member.New(member.Options{
+		Self: d.self, Seeds: d.options.Settings.Peers.Seeds, Peers: d.peerClient, OnView: d.onMembers,
+		PlatformHosts: d.hostHints,
+		Logger:        d.options.Logger, Registerer: d.registry, Now: d.options.Now, Seed: d.options.Seed,
+	})
+	return nil
+}
+
+// hostHints reads the platform's lagging host list. A host in both of its lists is leaving.
+func (d *Daemon) hostHints(ctx context.Context) ([]membership.Hint, error) {
+	list, err := d.platform.Hosts(ctx)
+	if err != nil {
+		return nil, err
+	}
+	var hints []membership.Hint
+	for _, h := range list.Leaving {
+		hints = append(hints, membership.Hint{ID: h.ID, Address: h.PeerAddress, Leaving: true})
+	}
+	for _, h := range list.Live {
+		leaving := slices.ContainsFunc(list.Leaving, func(l host.Host) bool { return l.ID == h.ID })
+		if !leaving {
+			hints = append(hints, membership.Hint{ID: h.ID, Address: h.PeerAddress})
+		}
+	}
+	return hints, nil
+}
+
+func (d *Daemon) buildAdoption() error {
+	d.adoption = adopt.New(adopt.Options{
+		Self: d.self, Port: d.platform, Peers: d.peerClient, OnAdopt: d.onSnapshot,
+		Logger: d.options.Logger, Registerer: d.registry, Now: d.options.Now, Seed: d.options.Seed,
+	})
+	return nil
+}
+
+func (d *Daemon) registerPeerServices() {
+	d.peerServer.Register("Member", d.members.PeerService)
+	d.peerServer.Register("Config", d.adoption.PeerService)
+	d.peerServer.Register("Flow", d.forwarder.PeerService)
+	d.peerServer.Register("Request", d.dispatcher.PeerService)
+}
+
+func (d *Daemon) buildServers() {
+	d.callers = dispatch.NewServer(d.dispatcher.Handler(), d.requestLimits())
+	d.operators = admin.NewServer(admin.Options{
+		Status: func() any { return d.Status() }, Explain: d.forwarder.Explain,
+		Ready: d.Ready, Gatherer: d.registry,
+	})
+}
+
+func listen(key string, address netip.AddrPort) (net.Listener, error) {
+	listener, err := net.Listen("tcp", address.String())
+	if err != nil {
+		return nil, fmt.Errorf("settings:listen.%s: cannot listen on %s, write an address of this host with a free port: %w", key, address, err)
+	}
+	return listener, nil
+}
+
+func boundAddress(listener net.Listener) netip.AddrPort {
+	return listener.Addr().(*net.TCPAddr).AddrPort()
+}
