Let an upstream stand-in learn its service after it has started

Cause: the service's identifier is assigned at the first publication, which needs the upstream's bound address. Change: SetService; a zero service takes all packets.

--- a/internal/standin/upstream/options.go
+++ b/internal/standin/upstream/options.go
@@ -11,7 +11,7 @@
 
 // Options sets up a stand-in.
 type Options struct {
-	// Service is the service whose packets the stand-in takes.
+	// Service is the service whose packets the stand-in takes; zero takes all.
 	Service service.ID
 	// Upstream gives the addresses (port 0 picks a free one), slots and connections.
 	Upstream service.Upstream
--- a/internal/standin/upstream/upstream.go
+++ b/internal/standin/upstream/upstream.go
@@ -10,6 +10,8 @@
 	"slices"
 	"sync"
 	"time"
+
+	"github.com/oatlatch/oatlatch/internal/service"
 )
 
 // shutdownTimeout bounds the wait for requests in progress when Run ends.
@@ -24,6 +26,7 @@
 	started time.Time
 
 	mu        sync.Mutex
+	service   service.ID
 	faults    Faults
 	draining  bool
 	present   int
@@ -50,6 +53,7 @@
 	}
 	u := &Upstream{
 		options: options,
+		service: options.Service,
 		packets: packets,
 		slots:   make(chan struct{}, options.Upstream.Slots),
 		started: options.Now(),
@@ -118,6 +122,14 @@
 	u.started = u.options.Now()
 }
 
+// SetService changes the service whose packets the stand-in takes. Packets that
+// came before are not judged again.
+func (u *Upstream) SetService(id service.ID) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.service = id
+}
+
 // SetFaults replaces the faults; those of connections take effect on new ones.
 func (u *Upstream) SetFaults(faults Faults) {
 	u.mu.Lock()
