Add the demo of the whole path with its test

Change: platform, upstreams, four entry hosts, fabric and callers in one process; drains an upstream, removes and adds a host, changes weights. Compares what callers sent and were told with what upstreams saw.

--- /dev/null
+++ b/internal/demo/demo_test.go
@@ -0,0 +1,52 @@
+package demo_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/oatlatch/oatlatch/callers"
+	"github.com/oatlatch/oatlatch/internal/demo"
+)
+
+func TestPromisesHoldForBothUsers(t *testing.T) {
+	for _, user := range []string{"amarres", "kowhai-lane"} {
+		t.Run(user, func(t *testing.T) {
+			t.Parallel()
+			report, err := demo.Run(context.Background(), demo.Options{
+				User: user, Duration: 12 * time.Second, Seed: 1, Logger: zerolog.Nop(),
+			})
+			if err != nil {
+				t.Fatal(err)
+			}
+			// How long a configuration takes depends on the machine: it is reported, not asserted.
+			report.Spread = 0
+			for _, line := range report.Broken() {
+				t.Error(line)
+			}
+			if report.FlowsOpened == 0 || report.PacketsDelivered == 0 {
+				t.Errorf("no flows ran: %+v", report)
+			}
+			if answered(report) == 0 {
+				t.Errorf("no request was answered: %+v", report.Requests)
+			}
+		})
+	}
+}
+
+func TestUnknownUser(t *testing.T) {
+	if _, err := demo.Run(context.Background(), demo.Options{User: "nobody"}); err == nil {
+		t.Fatal("want an error that names the users")
+	}
+}
+
+func answered(report *demo.Report) int {
+	for _, count := range report.Requests {
+		if count.Outcome == callers.Answered {
+			return count.Number
+		}
+	}
+	return 0
+}
--- /dev/null
+++ b/internal/demo/deployment.go
@@ -0,0 +1,175 @@
+package demo
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/netip"
+	"sync"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"github.com/oatlatch/oatlatch/internal/config"
+	"github.com/oatlatch/oatlatch/internal/publisher"
+	"github.com/oatlatch/oatlatch/internal/service"
+	"github.com/oatlatch/oatlatch/internal/standin/fabric"
+	"github.com/oatlatch/oatlatch/internal/standin/platform"
+	"github.com/oatlatch/oatlatch/internal/standin/upstream"
+)
+
+// errNotReady is returned when a host does not serve in time.
+var errNotReady = errors.New("a host has not adopted the configuration in time, run again with --verbose to see why")
+
+// target is a running upstream and the entry of the service file that names it.
+type target struct {
+	service  string
+	name     string
+	upstream *upstream.Upstream
+}
+
+// deployment is everything that the demo runs.
+type deployment struct {
+	options  Options
+	group    *errgroup.Group
+	ctx      context.Context
+	platform *platform.Server
+	fabric   *fabric.Fabric
+
+	services []service.Service
+	targets  []target
+
+	mu      sync.Mutex
+	entries []*entry
+	started int
+}
+
+// newDeployment starts the platform and the upstreams, publishes the examples
+// and starts the entry hosts.
+func newDeployment(ctx context.Context, group *errgroup.Group, options Options) (*deployment, error) {
+	d := &deployment{options: options, group: group, ctx: ctx}
+	var err error
+	if d.services, err = loadExamples(options.User); err != nil {
+		return nil, err
+	}
+	if d.platform, err = platform.New(platform.Options{}); err != nil {
+		return nil, err
+	}
+	group.Go(func() error { return d.platform.Run(ctx) })
+	if d.fabric, err = fabric.New(options.Seed); err != nil {
+		return nil, err
+	}
+	if err := d.startUpstreams(); err != nil {
+		return nil, err
+	}
+	if _, err := d.publish(); err != nil {
+		return nil, err
+	}
+	for range hostCount {
+		if err := d.addHost(); err != nil {
+			return nil, err
+		}
+	}
+	return d, d.waitFor(d.version())
+}
+
+// startUpstreams runs a stand-in for each upstream and writes its address into the service.
+func (d *deployment) startUpstreams() error {
+	for i := range d.services {
+		s := &d.services[i]
+		for j := range s.Upstreams {
+			u := &s.Upstreams[j]
+			u.Address, u.PacketAddress = netip.AddrPort{}, netip.AddrPort{}
+			running, err := upstream.New(upstream.Options{
+				Upstream: *u, Work: upstreamWork, QueueLimit: upstreamQueue,
+			})
+			if err != nil {
+				return err
+			}
+			u.Address, u.PacketAddress = running.HTTPAddr(), running.PacketAddr()
+			d.targets = append(d.targets, target{service: s.Name, name: u.Name, upstream: running})
+			d.group.Go(func() error { return running.Run(d.ctx) })
+		}
+	}
+	return nil
+}
+
+// publish writes the services as they stand and returns how long the slowest
+// host took to put them in force; zero before there is a host.
+func (d *deployment) publish() (time.Duration, error) {
+	port, err := d.openPlatform()
+	if err != nil {
+		return 0, err
+	}
+	result, err := publisher.Publish(d.ctx, port, publisher.Options{Operator: "demo", Seed: d.options.Seed}, d.services)
+	if err != nil {
+		return 0, err
+	}
+	started := time.Now()
+	if err := d.waitFor(result.Version); err != nil {
+		return 0, err
+	}
+	return time.Since(started), d.tellUpstreams()
+}
+
+// tellUpstreams gives each stand-in the identifier of its service.
+func (d *deployment) tellUpstreams() error {
+	entries := d.hosts()
+	if len(entries) == 0 {
+		return nil
+	}
+	ids := make(map[string]service.ID)
+	for _, s := range entries[0].daemon.Snapshot().Services {
+		ids[s.Name] = s.ID
+	}
+	for _, t := range d.targets {
+		t.upstream.SetService(ids[t.service])
+	}
+	return nil
+}
+
+// waitFor returns when every host has adopted the version.
+func (d *deployment) waitFor(version config.Version) error {
+	deadline := time.Now().Add(readyTimeout)
+	for _, e := range d.hosts() {
+		for e.daemon.Snapshot().Version() < version {
+			if time.Now().After(deadline) {
+				return fmt.Errorf("%s: %w", e.daemon.Self().ID, errNotReady)
+			}
+			if err := pause(d.ctx, pollInterval); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+// version returns the highest version that any host has adopted.
+func (d *deployment) version() config.Version {
+	highest := config.Version(1)
+	for _, e := range d.hosts() {
+		highest = max(highest, e.daemon.Snapshot().Version())
+	}
+	return highest
+}
+
+// service returns the service of the given name.
+func (d *deployment) service(name string) *service.Service {
+	for i := range d.services {
+		if d.services[i].Name == name {
+			return &d.services[i]
+		}
+	}
+	return nil
+}
+
+func pause(ctx context.Context, duration time.Duration) error {
+	timer := time.NewTimer(duration)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-timer.C:
+		return nil
+	}
+}
--- /dev/null
+++ b/internal/demo/options.go
@@ -0,0 +1,43 @@
+// Package demo runs the whole path in one process over loopback sockets:
+// platform, upstreams, entry hosts, fabric and callers, with changes under load.
+package demo
+
+import (
+	"io"
+	"time"
+
+	"github.com/rs/zerolog"
+)
+
+// Options say what to run.
+type Options struct {
+	// User is the directory of examples to publish: amarres or kowhai-lane.
+	User string
+	// Duration is how long flows and requests run.
+	Duration time.Duration
+	Seed     uint64
+	// Progress takes one line for each step; nil for none.
+	Progress io.Writer
+	// Logger takes the hosts' events.
+	Logger zerolog.Logger
+}
+
+// Sizes of the demo's load.
+const (
+	hostCount         = 4
+	flowsPerSecond    = 300
+	maxFlowsOfService = 3000
+	packetInterval    = time.Second
+	requestWorkers    = 6
+	requestPause      = 20 * time.Millisecond
+	requestDeadline   = 5 * time.Second
+	upstreamWork      = 10 * time.Millisecond
+	upstreamQueue     = 4
+	downloadBytes     = 20_000
+	readyTimeout      = 10 * time.Second
+	spreadLimit       = 3 * time.Second
+	pollInterval      = 20 * time.Millisecond
+	fabricLag         = 500 * time.Millisecond
+	settleTimeout     = 5 * time.Second
+	stopTimeLimit     = 20 * time.Second
+)
