--- /dev/null
+++ b/cmd/oatlatch/check.go
@@ -0,0 +1,24 @@
+package main
+
+import (
+	"fmt"
+
+	"github.com/oatlatch/oatlatch/internal/collect"
+)
+
+// checkCommand checks service files.
+type checkCommand struct {
+	Dirs []string `arg:"" name:"dir" help:"Directories that hold *.oatlatch files."`
+}
+
+// Run prints what each file describes, or one line for each problem.
+func (c *checkCommand) Run() error {
+	services, err := collect.Directories(c.Dirs)
+	if err != nil {
+		return err
+	}
+	for _, s := range services {
+		fmt.Printf("%s: %d upstreams behind %s in %s\n", s.Name, len(s.Upstreams), s.Address, s.Region)
+	}
+	return nil
+}
--- /dev/null
+++ b/cmd/oatlatch/demo.go
@@ -0,0 +1,70 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/oatlatch/oatlatch/internal/demo"
+	"github.com/oatlatch/oatlatch/internal/logging"
+)
+
+// errPromiseBroken is returned when the demo saw a promise broken.
+var errPromiseBroken = errors.New("a promise was broken, see the lines above")
+
+// demoCommand runs the whole path in one process.
+type demoCommand struct {
+	Users   string `enum:"amarres,kowhai-lane" default:"amarres" help:"Whose services to run: amarres or kowhai-lane."`
+	Seconds int    `default:"20" help:"How long flows and requests run."`
+	Seed    uint64 `default:"1" help:"Seed of the demo's random choices."`
+	Verbose bool   `help:"Print the hosts' log to standard error."`
+}
+
+// minDemoSeconds leaves time for every change.
+const minDemoSeconds = 12
+
+// Run prints a table of what the demo saw. It fails if a promise was broken.
+func (c *demoCommand) Run(ctx context.Context) error {
+	if c.Seconds < minDemoSeconds {
+		return fmt.Errorf("--seconds %d is too short for the changes, write at least %d", c.Seconds, minDemoSeconds)
+	}
+	logger := zerolog.Nop()
+	if c.Verbose {
+		var err error
+		if logger, err = logging.New(os.Stderr, "info"); err != nil {
+			return err
+		}
+	}
+	report, err := demo.Run(ctx, demo.Options{
+		User: c.Users, Duration: time.Duration(c.Seconds) * time.Second, Seed: c.Seed,
+		Progress: progressWriter(), Logger: logger,
+	})
+	if err != nil {
+		return err
+	}
+	if err := report.Print(os.Stdout); err != nil {
+		return err
+	}
+	broken := report.Broken()
+	for _, line := range broken {
+		fmt.Fprintln(os.Stderr, "broken:", line)
+	}
+	if len(broken) > 0 {
+		return errPromiseBroken
+	}
+	fmt.Println("all promises held")
+	return nil
+}
+
+// progressWriter returns standard error if a person watches it.
+func progressWriter() io.Writer {
+	if info, err := os.Stderr.Stat(); err == nil && info.Mode()&os.ModeCharDevice != 0 {
+		return os.Stderr
+	}
+	return nil
+}
--- a/cmd/oatlatch/main.go
+++ b/cmd/oatlatch/main.go
@@ -1,20 +1,37 @@
+// Command oatlatch is the operators' client of the load balancer.
 package main
 
 import (
-	"net"
+	"context"
 	"os"
+	"os/signal"
+	"syscall"
 
 	"github.com/alecthomas/kong"
 )
 
-type flags struct {
-	Version bool
+// commands are the client's command line.
+type commands struct {
+	Check   checkCommand   `cmd:"" help:"Check service files without publishing them."`
+	Publish publishCommand `cmd:"" help:"Check service files and publish them to the platform."`
+	Status  statusCommand  `cmd:"" help:"Show the state of entry hosts."`
+	Explain explainCommand `cmd:"" help:"Show which upstream a flow goes to, and why."`
+	Demo    demoCommand    `cmd:"" help:"Run the whole path in one process on loopback and check the promises."`
+	Standin standinCommand `cmd:"" help:"Run a small stand-in of an outside system, for trials."`
 }
 
 func main() {
-	var f flags
-	kong.Parse(&f)
-	if _, err := net.LookupPort("tcp", "http"); err != nil {
+	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	defer cancel()
+	parsed := kong.Parse(&commands{},
+		kong.Name("oatlatch"),
+		kong.Description("Operators' client of a layer-4 load balancer."),
+		kong.UsageOnError(),
+		kong.BindTo(ctx, (*context.Context)(nil)),
+	)
+	if err := parsed.Run(); err != nil {
+		cancel()
+		parsed.Errorf("%s", err)
 		os.Exit(1)
 	}
 }
--- /dev/null
+++ b/cmd/oatlatch/platform_flags.go
@@ -0,0 +1,27 @@
+package main
+
+import (
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/rs/zerolog"
+
+	"github.com/oatlatch/oatlatch/internal/platform"
+)
+
+// platformCallsPerSecond bounds the calls of one publication.
+const platformCallsPerSecond = 100
+
+// platformFlags say how to reach the platform's key-value service.
+type platformFlags struct {
+	Platform []string      `default:"http://127.0.0.1:8500" help:"Base URLs of the platform's key-value service."`
+	Token    string        `env:"OATLATCH_PLATFORM_TOKEN" help:"Access token sent with each call to the platform."`
+	Deadline time.Duration `default:"2s" help:"Time limit of one call to the platform."`
+}
+
+func (f *platformFlags) open(seed uint64) (*platform.HTTP, error) {
+	return platform.NewHTTP(platform.Options{
+		Addresses: f.Platform, Token: f.Token, Deadline: f.Deadline, CallsPerSecond: platformCallsPerSecond,
+		Logger: zerolog.Nop(), Registerer: prometheus.NewRegistry(), Now: time.Now, Seed: seed,
+	})
+}
--- /dev/null
+++ b/cmd/oatlatch/standin.go
@@ -0,0 +1,61 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"net/netip"
+	"time"
+
+	"github.com/oatlatch/oatlatch/internal/service"
+	"github.com/oatlatch/oatlatch/internal/standin/platform"
+	"github.com/oatlatch/oatlatch/internal/standin/upstream"
+)
+
+// standinCommand runs one stand-in until it is stopped.
+type standinCommand struct {
+	Platform standinPlatformCommand `cmd:"" help:"Run a key-value service that keeps its data in memory."`
+	Upstream standinUpstreamCommand `cmd:"" help:"Run an upstream that answers requests and counts packets."`
+}
+
+// standinPlatformCommand runs the platform stand-in.
+type standinPlatformCommand struct {
+	Listen netip.AddrPort `default:"127.0.0.1:8500" help:"IP:port of the HTTP API."`
+}
+
+// Run serves until ctx ends.
+func (c *standinPlatformCommand) Run(ctx context.Context) error {
+	server, err := platform.New(platform.Options{Listen: c.Listen.String()})
+	if err != nil {
+		return err
+	}
+	fmt.Printf("platform stand-in at %s\n", server.URL())
+	return server.Run(ctx)
+}
+
+// standinUpstreamCommand runs an upstream stand-in.
+type standinUpstreamCommand struct {
+	Listen     netip.AddrPort `default:"127.0.0.1:9001" help:"IP:port for requests (TCP)."`
+	Packet     netip.AddrPort `default:"127.0.0.1:9101" help:"IP:port for packets (UDP, Geneve)."`
+	ServiceID  uint32         `help:"Identifier of its service; packets of others are counted as misdelivered. 0 takes all."`
+	Slots      uint32         `default:"3" help:"Requests run at a time."`
+	Queue      int            `default:"8" help:"Requests that wait for a slot before others are shed."`
+	Work       time.Duration  `default:"20ms" help:"Time that a request takes."`
+	ColdStart  time.Duration  `help:"Time after the start in which requests take longer."`
+	ColdFactor float64        `default:"4" help:"How much longer a request takes right after a cold start."`
+}
+
+// Run serves until ctx ends.
+func (c *standinUpstreamCommand) Run(ctx context.Context) error {
+	running, err := upstream.New(upstream.Options{
+		Service: service.ID(c.ServiceID),
+		Upstream: service.Upstream{
+			Name: "standin", Address: c.Listen, PacketAddress: c.Packet, Slots: c.Slots, Connections: 2000,
+		},
+		Work: c.Work, QueueLimit: c.Queue, ColdStart: c.ColdStart, ColdFactor: c.ColdFactor,
+	})
+	if err != nil {
+		return err
+	}
+	fmt.Printf("upstream stand-in: requests at %s, packets at %s\n", running.HTTPAddr(), running.PacketAddr())
+	return running.Run(ctx)
+}
