--- a/internal/admission/reason.go
+++ b/internal/admission/reason.go
@@ -38,6 +38,7 @@
 	ReasonUpstreamShed      Reason = "upstream-shed"
 	ReasonUpstreamReset     Reason = "upstream-reset"
 	ReasonDraining          Reason = "draining"
+	ReasonInternal          Reason = "internal"
 )
 
 // Reasons lists every reason, for metrics and documentation.
@@ -51,7 +52,7 @@
 		ReasonAnswerCrossed,
 		ReasonOverloaded, ReasonQueueFull, ReasonNoUpstream, ReasonDeadlineInQueue,
 		ReasonDeadline, ReasonCancelled, ReasonUpstreamDown, ReasonUpstreamShed,
-		ReasonUpstreamReset, ReasonDraining,
+		ReasonUpstreamReset, ReasonDraining, ReasonInternal,
 	}
 }
 
--- a/internal/admission/scheduler.go
+++ b/internal/admission/scheduler.go
@@ -209,21 +209,22 @@
 	return s.estimate * time.Duration(ahead+1) / time.Duration(slots)
 }
 
-// pick chooses the upstream with the largest share of free slots, weighed by
-// ramp. Paused upstreams are chosen only when all usable ones are paused.
+// pick draws an upstream by its free slots, weight and ramp. Paused upstreams are
+// chosen only when all usable ones are paused.
 func (s *Scheduler) pick(now time.Time, exclude []string) (string, bool) {
-	best, bestScore, allPaused := "", 0.0, s.allPaused(now, exclude)
+	picked, total, allPaused := "", 0.0, s.allPaused(now, exclude)
 	for _, t := range s.targets {
 		free := t.Slots - s.inUse[t.Name]
 		if free <= 0 || slices.Contains(exclude, t.Name) || (!allPaused && s.paused(now, t)) {
 			continue
 		}
-		score := t.Ramp * float64(free) / float64(t.Slots) * (1 + s.options.Rand.Float64()/2)
-		if score > bestScore {
-			best, bestScore = t.Name, score
+		score := t.score(free)
+		total += score
+		if s.options.Rand.Float64()*total < score {
+			picked = t.Name
 		}
 	}
-	return best, best != ""
+	return picked, picked != ""
 }
 
 func (s *Scheduler) allPaused(now time.Time, exclude []string) bool {
--- a/internal/admission/scheduler_test.go
+++ b/internal/admission/scheduler_test.go
@@ -170,3 +170,17 @@
 		t.Errorf("after the pause: %+v", d)
 	}
 }
+
+func TestFreeUpstreamsShareWorkByWeight(t *testing.T) {
+	m := newSchedulerMachine()
+	m.scheduler.Update(start, []Target{{Name: "a", Slots: 2, Ramp: 1, Weight: 3}, {Name: "b", Slots: 2, Ramp: 1, Weight: 1}, {Name: "c", Slots: 2, Ramp: 0.25, Weight: 4}})
+	counts := make(map[string]int)
+	for id := range uint64(5000) {
+		d := m.scheduler.Submit(start, Request{ID: id, Deadline: start.Add(time.Second)})
+		counts[d.Upstream]++
+		m.scheduler.Release(start, d.Upstream, time.Millisecond)
+	}
+	if counts["a"] < 2800 || counts["a"] > 3200 || counts["b"] < 850 || counts["b"] > 1150 {
+		t.Errorf("weights 3, 1 and 4 at a quarter share 5000 requests as %v", counts)
+	}
+}
--- a/internal/dispatch/exchange.go
+++ b/internal/dispatch/exchange.go
@@ -77,19 +77,19 @@
 }
 
 // send sends an idempotent request, on an idle connection if there is one.
-func (e *exchanger) send(ctx context.Context, to netip.AddrPort, out outbound, left time.Duration) (*http.Response, error) {
+// wrote is as for sendOnce.
+func (e *exchanger) send(ctx context.Context, to netip.AddrPort, out outbound, left time.Duration) (resp *http.Response, wrote bool, err error) {
 	request, err := out.build(ctx, to, left)
 	if err != nil {
-		return nil, err
+		return nil, false, err
 	}
 	conn := e.pool.take(to)
 	if conn == nil {
 		if conn, err = e.dial(ctx, to); err != nil {
-			return nil, err
+			return nil, false, err
 		}
 	}
-	resp, _, err := e.exchange(ctx, to, conn, request, nil)
-	return resp, err
+	return e.exchange(ctx, to, conn, request, nil)
 }
 
 func (e *exchanger) dial(ctx context.Context, to netip.AddrPort) (*upstreamConn, error) {
--- a/internal/dispatch/fault_test.go
+++ b/internal/dispatch/fault_test.go
@@ -217,3 +217,24 @@
 	took := c.upstreams[0].Runs()[0].Finished.Sub(cancelled)
 	t.Logf("cancellation reached the upstream after %v", took)
 }
+
+func TestUnreachableUpstreamIsNotRunAndAnotherOneServes(t *testing.T) {
+	c := newCluster(t, clusterOptions{hosts: 1, upstreams: 2, slots: 3})
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	c.redirectUpstream(0, listener.Addr().String())
+	listener.Close()
+	n := c.node("entry-0")
+	told := make(map[string]int)
+	for i := range 40 {
+		resp, _ := post(t, n, freshTicket(t, n), fmt.Sprint("c", i))
+		told[outcomeOf(resp)]++
+		resp, _ = exchange(t, n, http.MethodGet, "/roster", nil, nil)
+		told[outcomeOf(resp)]++
+	}
+	if told["answered/ok"]+told["not-run/upstream-unreachable"] != 80 || told["answered/ok"] < 70 {
+		t.Errorf("told %v", told)
+	}
+}
--- a/internal/dispatch/handover.go
+++ b/internal/dispatch/handover.go
@@ -182,6 +182,8 @@
 		b := newBook(ticket.Adopt(d.ledgerBounds(), *d.incoming[id]))
 		b.until = d.options.Now().Add(d.limits.TicketLife + d.limits.KeepResults)
 		d.books[id] = b
+		d.options.Logger.Info().Str("issuer", string(args.Transfer.Issuer)).
+			Str("incarnation", fmt.Sprintf("%x", uint64(id))).Msg("ticket ledger taken over")
 		delete(d.incoming, id)
 		delete(d.begun, id)
 	}
--- a/internal/dispatch/idempotent.go
+++ b/internal/dispatch/idempotent.go
@@ -54,7 +54,7 @@
 			failed.outcome = admission.Unknown
 		}
 		last = *failed
-		if last.final || n == maxAttempts || ctx.Err() != nil || !c.route.lane.takeRetry() {
+		if last.final || n == maxAttempts || ctx.Err() != nil || !c.d.mayRetry(c.route) {
 			c.tell(last.outcome, c.reasonAt(ctx, last.reason))
 			return
 		}
@@ -94,9 +94,12 @@
 		return &failure{outcome: admission.NotRun, reason: admission.ReasonDeadline, final: true}
 	}
 	out := c.outbound()
-	resp, err := c.d.sender.send(ctx, c.route.addresses[slot.upstream], out, left)
+	resp, wrote, err := c.d.sender.send(ctx, c.route.addresses[slot.upstream], out, left)
 	if err != nil {
-		c.d.release(c.route, slot, 0, false)
+		c.d.release(c.route, slot, 0, !wrote)
+		if !wrote {
+			return &failure{outcome: admission.NotRun, reason: admission.ReasonUpstreamDown}
+		}
 		return &failure{outcome: admission.Unknown, reason: admission.ReasonUpstreamReset}
 	}
 	release := sync.OnceFunc(func() {
--- a/internal/dispatch/metrics.go
+++ b/internal/dispatch/metrics.go
@@ -18,12 +18,14 @@
 
 // metrics counts outcomes and retries for Prometheus and for status.
 type metrics struct {
-	outcomes   *prometheus.CounterVec
-	retries    *prometheus.CounterVec
-	relays     *prometheus.CounterVec
-	loans      *prometheus.CounterVec
-	inProgress prometheus.Gauge
-	seconds    *prometheus.HistogramVec
+	outcomes *prometheus.CounterVec
+	retries  *prometheus.CounterVec
+	// retryRefused counts retries that the budget did not allow.
+	retryRefused prometheus.Counter
+	relays       *prometheus.CounterVec
+	loans        *prometheus.CounterVec
+	inProgress   prometheus.Gauge
+	seconds      *prometheus.HistogramVec
 
 	mu            sync.Mutex
 	outcomeCounts map[outcomeKey]uint64
@@ -42,6 +44,10 @@
 			Name: "oatlatch_request_retries_total",
 			Help: "Attempts after the first, by the reason of the attempt before.",
 		}, []string{"reason"}),
+		retryRefused: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "oatlatch_request_retries_refused_total",
+			Help: "Retries that the retry budget did not allow.",
+		}),
 		relays: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "oatlatch_request_relays_total",
 			Help: "Requests relayed to the host that holds their ticket, by result.",
@@ -63,7 +69,7 @@
 		retryCounts:   make(map[admission.Reason]uint64),
 	}
 	if registerer != nil {
-		registerer.MustRegister(m.outcomes, m.retries, m.relays, m.loans, m.inProgress, m.seconds)
+		registerer.MustRegister(m.outcomes, m.retries, m.retryRefused, m.relays, m.loans, m.inProgress, m.seconds)
 	}
 	return m
 }
--- a/internal/dispatch/once.go
+++ b/internal/dispatch/once.go
@@ -24,9 +24,19 @@
 	case ticket.ClaimJoin:
 		return d.join(ctx, b, t, j, running)
 	}
+	return d.runClaimed(ctx, b, t, j), false
+}
+
+// runClaimed runs the request and records its result, whatever happens.
+func (d *Dispatcher) runClaimed(ctx context.Context, b *book, t ticket.Ticket, j job) ticket.Result {
+	result := unknown(admission.ReasonInternal)
+	defer func() { b.finish(d.options.Now(), t.Sequence, result) }()
 	result = d.runOnce(ctx, t, j)
-	b.finish(d.options.Now(), t.Sequence, result)
-	return result, false
+	if result.Outcome == admission.Unknown {
+		d.options.Logger.Warn().Uint32("service", uint32(j.service)).Str("upstream", result.Upstream).
+			Str("reason", string(result.Reason)).Uint64("sequence", t.Sequence).Msg("outcome unknown")
+	}
+	return result
 }
 
 // awaitMove waits until the book's successor is known.
@@ -75,7 +85,7 @@
 			return notRun(reason)
 		}
 		result := d.runAt(r, slot, t, j)
-		if result.Outcome != admission.NotRun || n == maxAttempts || ctx.Err() != nil || !r.lane.takeRetry() {
+		if result.Outcome != admission.NotRun || n == maxAttempts || ctx.Err() != nil || !d.mayRetry(r) {
 			return result
 		}
 		last = result.Reason
@@ -84,6 +94,15 @@
 	}
 }
 
+// mayRetry takes a retry from the budget, and counts the refusal if there is none.
+func (d *Dispatcher) mayRetry(r *route) bool {
+	allowed := r.lane.takeRetry()
+	if !allowed {
+		d.metrics.retryRefused.Inc()
+	}
+	return allowed
+}
+
 // runAt sends the request to an upstream. The exchange outlives the caller's
 // connection, so that a repeat of the ticket can get the answer.
 func (d *Dispatcher) runAt(r *route, slot grant, t ticket.Ticket, j job) ticket.Result {
@@ -101,7 +120,7 @@
 	if result.Outcome != admission.NotRun {
 		busy = d.options.Now().Sub(began)
 	}
-	d.release(r, slot, busy, result.Reason == admission.ReasonUpstreamShed)
+	d.release(r, slot, busy, result.Reason == admission.ReasonUpstreamShed || result.Reason == admission.ReasonUpstreamDown)
 	return result
 }
 
--- a/internal/dispatch/route.go
+++ b/internal/dispatch/route.go
@@ -44,7 +44,7 @@
 		if u.State != service.AdminActive || shares[i] == 0 || (known && !takesWork(state.State, distrust)) {
 			continue
 		}
-		targets = append(targets, admission.Target{Name: u.Name, Slots: shares[i], Ramp: rampOf(state)})
+		targets = append(targets, admission.Target{Name: u.Name, Slots: shares[i], Weight: u.Weight, Ramp: rampOf(state)})
 	}
 	return targets
 }
--- a/internal/dispatch/statuscode.go
+++ b/internal/dispatch/statuscode.go
@@ -28,6 +28,8 @@
 		return http.StatusBadGateway
 	case admission.ReasonDeadline, admission.ReasonDeadlineInQueue:
 		return http.StatusGatewayTimeout
+	case admission.ReasonInternal:
+		return http.StatusInternalServerError
 	default:
 		return http.StatusServiceUnavailable
 	}
