Share slots anew only for services whose upstreams changed

Cause: each health view cost a new division of all services, with the hosts sorted for each. Change: a group of hosts is sorted once for each membership view, and a health view touches only services with a changed state or ramp.

--- a/internal/admission/sharing_test.go
+++ b/internal/admission/sharing_test.go
@@ -161,11 +161,11 @@
 	}
 	demands := make([]limit.Demand, s.load.targets)
 	for i := range demands {
-		demands[i] = limit.Demand{Upstream: fmt.Sprintf("target-%d", i), Slots: s.load.slots, Open: s.load.slots}
+		demands[i] = limit.Demand{Slots: s.load.slots, Open: s.load.slots}
 	}
 	demands[0].Open = limit.RampSlots(s.load.slots, ramp)
 	for i, id := range ids {
-		shares := limit.Shares(id, limit.Hosts{Known: ids, Active: ids}, 0, demands)
+		shares := limit.NewGroup(id, ids, ids).Shares(0, demands)
 		s.decideAll(s.hosts[i].Update(s.now, s.targets(demands, shares, ramp)))
 	}
 }
@@ -173,7 +173,7 @@
 func (s *simulation) targets(demands []limit.Demand, shares []int, ramp float64) []admission.Target {
 	var targets []admission.Target
 	for j, d := range demands {
-		target := admission.Target{Name: d.Upstream, Slots: shares[j], Ramp: 1}
+		target := admission.Target{Name: fmt.Sprintf("target-%d", j), Slots: shares[j], Ramp: 1}
 		if s.load.policy == fullSlots {
 			target.Slots = d.Open
 		}
--- a/internal/dispatch/bench_test.go
+++ b/internal/dispatch/bench_test.go
@@ -12,9 +12,15 @@
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/rs/zerolog"
 
 	"github.com/oatlatch/oatlatch/callers"
+	"github.com/oatlatch/oatlatch/internal/config"
 	"github.com/oatlatch/oatlatch/internal/dispatch"
+	"github.com/oatlatch/oatlatch/internal/health"
+	"github.com/oatlatch/oatlatch/internal/host"
+	"github.com/oatlatch/oatlatch/internal/membership"
+	"github.com/oatlatch/oatlatch/internal/service"
 )
 
 // latencies records times in microseconds from several goroutines.
@@ -80,18 +86,18 @@
 			ticket = fresh
 		}
 	}
-	host, target := c.node("entry-0").address, c.upstreams[0].HTTPAddr().String()
+	through, target := c.node("entry-0").address, c.upstreams[0].HTTPAddr().String()
 	for range 200 {
-		call(host, nil)
+		call(through, nil)
 		call(target, nil)
 	}
-	direct, through := newLatencies(), newLatencies()
+	directTimes, throughTimes := newLatencies(), newLatencies()
 	for b.Loop() {
-		call(target, direct)
-		call(host, through)
+		call(target, directTimes)
+		call(through, throughTimes)
 	}
-	d50, d99 := direct.report(b, "direct")
-	t50, t99 := through.report(b, "through")
+	d50, d99 := directTimes.report(b, "direct")
+	t50, t99 := throughTimes.report(b, "through")
 	b.ReportMetric(t50/d50, "p50-ratio")
 	b.ReportMetric(t99/d99, "p99-ratio")
 }
@@ -176,3 +182,30 @@
 	}
 	b.ReportMetric(float64(peak), "peak-at-upstream")
 }
+
+// BenchmarkSetUpstreams measures a new health view at the size that the project
+// builds towards: 1,200 services, 3,300 upstreams and 60 hosts.
+func BenchmarkSetUpstreams(b *testing.B) {
+	d := dispatch.New(dispatch.Options{Self: host.Host{ID: "entry-00", Incarnation: 1}, Logger: zerolog.Nop(), Now: time.Now})
+	snapshot := &config.Snapshot{Manifest: config.Manifest{Version: 1}}
+	var view health.View
+	for id := range 1200 {
+		s := service.Service{Name: fmt.Sprintf("service-%d", id), ID: service.ID(id), RequestHost: fmt.Sprintf("s%d.test", id)}
+		for n := range 2 + id%4/2*3/2 {
+			u := service.Upstream{Name: fmt.Sprintf("target-%d", n), Slots: 3, Weight: 1, State: service.AdminActive}
+			s.Upstreams = append(s.Upstreams, u)
+			view.Upstreams = append(view.Upstreams, health.Upstream{Service: s.ID, Name: u.Name, State: health.Up})
+		}
+		snapshot.Services = append(snapshot.Services, s)
+	}
+	d.Adopt(snapshot)
+	var members membership.View
+	for n := range 60 {
+		members.Members = append(members.Members, membership.Member{Host: host.Host{ID: host.ID(fmt.Sprintf("entry-%02d", n))}, State: membership.Live})
+	}
+	d.SetMembers(members)
+	for b.Loop() {
+		d.SetUpstreams(view)
+	}
+	b.ReportMetric(float64(len(view.Upstreams)), "upstreams")
+}
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -11,6 +11,7 @@
 	"github.com/oatlatch/oatlatch/internal/config"
 	"github.com/oatlatch/oatlatch/internal/health"
 	"github.com/oatlatch/oatlatch/internal/host"
+	"github.com/oatlatch/oatlatch/internal/limit"
 	"github.com/oatlatch/oatlatch/internal/membership"
 	"github.com/oatlatch/oatlatch/internal/service"
 	"github.com/oatlatch/oatlatch/internal/ticket"
@@ -39,6 +40,7 @@
 	mu       sync.Mutex
 	snapshot *config.Snapshot
 	members  membership.View
+	group    limit.Group
 	// viewed is closed with the first view of the hosts.
 	viewed  chan struct{}
 	sawView func()
@@ -70,6 +72,7 @@
 		begun:    make(map[host.Incarnation]time.Time),
 	}
 	d.sawView = sync.OnceFunc(func() { close(d.viewed) })
+	d.group = sharing(options.Self.ID, membership.View{})
 	bounds := d.ledgerBounds()
 	bounds.Issuer = options.Self.ID
 	bounds.Incarnation = options.Self.Incarnation
@@ -112,7 +115,7 @@
 		next.byID[s.ID] = r
 	}
 	d.routes.Store(next)
-	d.share(next)
+	d.shareAll()
 }
 
 func (d *Dispatcher) laneFor(old *routing, id service.ID) *lane {
@@ -131,28 +134,47 @@
 		d.sawView()
 	}
 	d.members = view
-	d.share(d.routes.Load())
+	d.group = sharing(d.options.Self.ID, view)
+	d.shareAll()
 }
 
-// SetUpstreams takes over the states of the upstreams.
+// SetUpstreams takes over the states of the upstreams. Only services whose
+// upstreams changed state or ramp are shared anew, because views come often.
 func (d *Dispatcher) SetUpstreams(view health.View) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.states = make(map[upstreamKey]health.Upstream, len(view.Upstreams))
+	if len(view.Upstreams) < len(d.states) {
+		d.states = make(map[upstreamKey]health.Upstream, len(view.Upstreams))
+		defer d.shareAll()
+	}
+	changed := make(map[service.ID]bool)
 	for _, u := range view.Upstreams {
-		d.states[upstreamKey{u.Service, u.Name}] = u
+		key := upstreamKey{u.Service, u.Name}
+		old, known := d.states[key]
+		if !known || old.State != u.State || old.Ramp != u.Ramp {
+			d.states[key] = u
+			changed[u.Service] = true
+		}
+	}
+	routes := d.routes.Load()
+	if routes == nil {
+		return
+	}
+	for id := range changed {
+		if r := routes.byID[id]; r != nil {
+			r.share(d.group, d.states)
+		}
 	}
-	d.share(d.routes.Load())
 }
 
-// share gives each lane this host's slots.
-func (d *Dispatcher) share(routes *routing) {
+// shareAll gives each lane this host's slots.
+func (d *Dispatcher) shareAll() {
+	routes := d.routes.Load()
 	if routes == nil {
 		return
 	}
-	hosts := sharing(d.options.Self.ID, d.members)
 	for _, r := range routes.byID {
-		r.lane.update(r.targets(d.options.Self.ID, hosts, d.states), r.lenders(d.options.Self.ID, hosts))
+		r.share(d.group, d.states)
 	}
 }
 
--- a/internal/dispatch/route.go
+++ b/internal/dispatch/route.go
@@ -3,7 +3,6 @@
 import (
 	"hash/fnv"
 	"net/netip"
-	"slices"
 
 	"github.com/oatlatch/oatlatch/internal/admission"
 	"github.com/oatlatch/oatlatch/internal/health"
@@ -17,7 +16,9 @@
 type route struct {
 	service   service.Service
 	addresses map[string]netip.AddrPort
-	lane      *lane
+	// offset is where the deal of the service's slots begins.
+	offset int
+	lane   *lane
 }
 
 func newRoute(s service.Service, l *lane) *route {
@@ -25,7 +26,7 @@
 	for _, u := range s.Upstreams {
 		addresses[u.Name] = u.Address
 	}
-	return &route{service: s, addresses: addresses, lane: l}
+	return &route{service: s, addresses: addresses, offset: offsetOf(s.Name), lane: l}
 }
 
 // upstreamKey names an upstream in a health view.
@@ -34,9 +35,15 @@
 	name    string
 }
 
-// targets returns the upstreams that may take new requests, with this host's slots.
-func (r *route) targets(self host.ID, hosts limit.Hosts, states map[upstreamKey]health.Upstream) []admission.Target {
-	shares := limit.Shares(self, hosts, offsetOf(r.service.Name), r.demands(states))
+// share gives the lane this host's slots of the upstreams that may take new
+// requests, and the hosts that lend theirs.
+func (r *route) share(group limit.Group, states map[upstreamKey]health.Upstream) {
+	demands := r.demands(states)
+	lenders := group.Lenders(r.offset, demands)
+	r.lane.update(r.targets(group.Shares(r.offset, demands), states), lenders)
+}
+
+func (r *route) targets(shares []int, states map[upstreamKey]health.Upstream) []admission.Target {
 	distrust := r.distrustHealth(states)
 	var targets []admission.Target
 	for i, u := range r.service.Upstreams {
@@ -49,18 +56,12 @@
 	return targets
 }
 
-// lenders returns the other hosts that have slots of the service.
-func (r *route) lenders(self host.ID, hosts limit.Hosts) []host.ID {
-	owners := limit.Owners(hosts, offsetOf(r.service.Name), r.demands(nil))
-	return slices.DeleteFunc(owners, func(id host.ID) bool { return id == self })
-}
-
 // demands returns the upstreams' slots; a joining upstream opens them by and by.
 func (r *route) demands(states map[upstreamKey]health.Upstream) []limit.Demand {
 	demands := make([]limit.Demand, len(r.service.Upstreams))
 	for i, u := range r.service.Upstreams {
 		ramp := rampOf(states[upstreamKey{r.service.ID, u.Name}])
-		demands[i] = limit.Demand{Upstream: u.Name, Slots: int(u.Slots), Open: limit.RampSlots(int(u.Slots), ramp)}
+		demands[i] = limit.Demand{Slots: int(u.Slots), Open: limit.RampSlots(int(u.Slots), ramp)}
 	}
 	return demands
 }
@@ -95,18 +96,18 @@
 }
 
 // sharing returns the hosts that divide the slots, as the view shows them.
-func sharing(self host.ID, view membership.View) limit.Hosts {
-	hosts := limit.Hosts{Known: []host.ID{self}, Active: []host.ID{self}}
+func sharing(self host.ID, view membership.View) limit.Group {
+	known, active := []host.ID{self}, []host.ID{self}
 	for _, member := range view.Members {
 		switch member.State {
 		case membership.Live, membership.Suspect:
-			hosts.Active = append(hosts.Active, member.Host.ID)
-			hosts.Known = append(hosts.Known, member.Host.ID)
+			active = append(active, member.Host.ID)
+			known = append(known, member.Host.ID)
 		case membership.Dead:
-			hosts.Known = append(hosts.Known, member.Host.ID)
+			known = append(known, member.Host.ID)
 		}
 	}
-	return hosts
+	return limit.NewGroup(self, known, active)
 }
 
 // offsetOf spreads the first slots of services over hosts.
--- a/internal/limit/limit_test.go
+++ b/internal/limit/limit_test.go
@@ -42,11 +42,10 @@
 		ids := hostIDs(rapid.IntRange(1, 12).Draw(t, "hosts"))
 		demands := drawDemands(t)
 		offset := rapid.IntRange(0, 1<<30).Draw(t, "offset")
-		hosts := Hosts{Known: ids, Active: ids}
 		total := make([]int, len(demands))
 		owners := make(map[host.ID]bool)
 		for _, id := range ids {
-			for i, share := range Shares(id, hosts, offset, demands) {
+			for i, share := range NewGroup(id, ids, ids).Shares(offset, demands) {
 				total[i] += share
 				if share > 0 {
 					owners[id] = true
@@ -58,8 +57,9 @@
 				t.Fatalf("upstream %d: %d of %d slots are handed out", i, total[i], d.Slots)
 			}
 		}
-		if listed := Owners(hosts, offset, demands); len(listed) != len(owners) {
-			t.Fatalf("owners %v, listed %v", owners, listed)
+		delete(owners, ids[0])
+		if lenders := NewGroup(ids[0], ids, ids).Lenders(offset, demands); len(lenders) != len(owners) {
+			t.Fatalf("owners %v, lenders %v", owners, lenders)
 		}
 	})
 }
@@ -69,7 +69,7 @@
 	for open := 1; open <= 3; open++ {
 		total := 0
 		for _, id := range ids {
-			total += Shares(id, Hosts{Known: ids, Active: ids}, 2, []Demand{{Slots: 3, Open: open}})[0]
+			total += NewGroup(id, ids, ids).Shares(2, []Demand{{Slots: 3, Open: open}})[0]
 		}
 		if total != open {
 			t.Errorf("%d open slots are handed out as %d", open, total)
@@ -89,7 +89,7 @@
 					active = append(active, other)
 				}
 			}
-			for i, share := range Shares(id, Hosts{Known: ids, Active: active}, 3, demands) {
+			for i, share := range NewGroup(id, ids, active).Shares(3, demands) {
 				total[i] += share
 			}
 		}
--- a/internal/limit/share.go
+++ b/internal/limit/share.go
@@ -7,57 +7,65 @@
 	"github.com/oatlatch/oatlatch/internal/host"
 )
 
-// Hosts is what a host knows of those that share the upstreams with it.
-type Hosts struct {
-	// Known hosts exist, whether or not they can be reached.
-	Known []host.ID
-	// Active hosts take requests.
-	Active []host.ID
+// Group is what a host knows of the hosts that share the upstreams, itself
+// included. It is immutable.
+type Group struct {
+	// active hosts take requests, in order.
+	active []host.ID
+	// index is the host's own place among them, or negative.
+	index int
+	// known counts the hosts that exist, whether or not they can be reached.
+	known int
+}
+
+// NewGroup returns the group of a host from the known and the active hosts.
+func NewGroup(self host.ID, known, active []host.ID) Group {
+	active = sorted(active)
+	index, found := slices.BinarySearch(active, self)
+	if !found {
+		index = -1
+	}
+	return Group{active: active, index: index, known: max(len(sorted(known)), len(active))}
 }
 
 // Demand is one upstream whose slots are to be divided.
 type Demand struct {
-	Upstream string
-	Slots    int
+	Slots int
 	// Open is how many of the slots may be used now, fewer after a cold start.
 	Open int
 }
 
-// Shares returns how many open slots of each upstream the host may use, in the order
-// of the demands. Hosts that agree on the active hosts never hand out a slot
-// twice. Whatever they believe, no host takes more than ceil(slots/known), so
-// that an upstream sees at most slots + known - 1 requests at once.
-func Shares(self host.ID, hosts Hosts, offset int, demands []Demand) []int {
-	active := sorted(hosts.Active)
-	index, found := slices.BinarySearch(active, self)
+// Shares returns how many open slots of each upstream the host may use, in the
+// order of the demands. Hosts that agree on the active hosts never hand out a
+// slot twice. Whatever they believe, no host takes more than ceil(slots/known),
+// so that an upstream sees at most slots + known - 1 requests at once.
+func (g Group) Shares(offset int, demands []Demand) []int {
 	shares := make([]int, len(demands))
-	if !found {
+	if g.index < 0 {
 		return shares
 	}
-	known := max(len(sorted(hosts.Known)), len(active))
 	first := offset
 	for i, demand := range demands {
-		own := ownSlots(first, demand.Open, index, len(active))
-		shares[i] = min(own, (demand.Slots+known-1)/known)
+		own := ownSlots(first, demand.Open, g.index, len(g.active))
+		shares[i] = min(own, (demand.Slots+g.known-1)/g.known)
 		first += demand.Slots
 	}
 	return shares
 }
 
-// Owners returns the active hosts that have a share of any of the upstreams.
-func Owners(hosts Hosts, offset int, demands []Demand) []host.ID {
+// Lenders returns the other active hosts that have a share of any of the upstreams.
+func (g Group) Lenders(offset int, demands []Demand) []host.ID {
 	total := 0
 	for _, demand := range demands {
 		total += demand.Slots
 	}
-	var owners []host.ID
-	active := sorted(hosts.Active)
-	for index, id := range active {
-		if ownSlots(offset, total, index, len(active)) > 0 {
-			owners = append(owners, id)
+	lenders := make([]host.ID, 0, min(total, len(g.active)))
+	for index, id := range g.active {
+		if index != g.index && ownSlots(offset, total, index, len(g.active)) > 0 {
+			lenders = append(lenders, id)
 		}
 	}
-	return owners
+	return lenders
 }
 
 // ownSlots counts the slots in [first, first+slots) that fall to the host at
