Send owners only the records that they cannot guess

Cause: the churn schedule measured 22,122 B/s of control for the busiest host and minute against a bound of 5,000: Collected and Replicate messages carried every flow seen in the last 5 s, from each host that saw it, at 16 B a record, with the addresses of all upstreams.

Change: a young flow is sent only by the host that saw its first packet and goes to no backup; records take 10 B; messages name only upstreams that they refer to and leave out defaults that agree.

Conclusion: what a host can derive need not be sent; the rest is small.

--- a/internal/flow/decide.go
+++ b/internal/flow/decide.go
@@ -231,6 +231,7 @@
 		upstream:  ref,
 		closing:   d.packet.Last,
 		tcp:       d.packet.Key.Protocol == service.TCP,
+		first:     d.packet.First,
 		seen:      d.now,
 		ownerSeen: d.now,
 	}
--- a/internal/flow/leave.go
+++ b/internal/flow/leave.go
@@ -63,7 +63,7 @@
 		all.Add(i)
 	}
 	var silent []Record
-	for _, r := range e.collect(en, &all) {
+	for _, r := range e.collect(en, &all, false) {
 		if !r.TCP {
 			silent = append(silent, r)
 		}
--- a/internal/flow/member.go
+++ b/internal/flow/member.go
@@ -97,7 +97,7 @@
 		}
 	})
 	e.mergeDefaults(en, m, refs)
-	records := e.collect(en, &m.Slots)
+	records := e.collect(en, &m.Slots, true)
 	e.sendRecords(en, from, m, records)
 }
 
@@ -108,16 +108,28 @@
 	for part := range parts {
 		answer := Message{
 			Kind: Collected, Service: en.id, Version: en.version, Term: m.Term, Round: m.Round, Attempt: m.Attempt,
-			Slots: m.Slots, Part: uint16(part), Parts: uint16(parts), Upstreams: targetsOf(t),
+			Slots: m.Slots, Part: uint16(part), Parts: uint16(parts),
 		}
-		answer.Records = records[part*MaxRecords : min(len(records), (part+1)*MaxRecords)]
-		if part == 0 {
-			answer.Defaults = defaultsOf(t, &m.Slots)
+		answer.nameRecords(t, records[part*MaxRecords:min(len(records), (part+1)*MaxRecords)])
+		if part == 0 && !agrees(t, m) {
+			answer.nameDefaults(t)
 		}
 		e.send(from, answer)
 	}
 }
 
+// agrees reports whether the sender's defaults are at least as new as the host's own.
+func agrees(t *slotTable, m *Message) bool {
+	n := 0
+	for i := range m.Slots.All {
+		if n >= len(m.Defaults) || m.Defaults[n].Term < t.slot(i).defaultTerm {
+			return false
+		}
+		n++
+	}
+	return true
+}
+
 // receiveReplicate stores records for the owner.
 func (e *Engine) receiveReplicate(en *entry, from hostRef, m *Message) {
 	refs := e.internTargets(en, m.Upstreams)
--- a/internal/flow/message.go
+++ b/internal/flow/message.go
@@ -60,7 +60,7 @@
 	Part, Parts uint16
 	// Upstreams are the upstreams that Records and Defaults refer to by index.
 	Upstreams []Target
-	Records   []Record
+	Records   RecordList
 	// Defaults has one element for each of Slots, in ascending order.
 	Defaults []Default
 	// Hosts are the hosts that Owners refers to by index.
@@ -81,15 +81,6 @@
 	Address netip.AddrPort
 }
 
-// Record is a flow's upstream.
-type Record struct {
-	ID       ID
-	Upstream uint16
-	TCP      bool
-	// Confirmed is set when the sender saw more than one packet of the flow.
-	Confirmed bool
-}
-
 // Default is the default upstream of a slot and the term that set it.
 type Default struct {
 	Upstream uint16
--- a/internal/flow/record.go
+++ b/internal/flow/record.go
@@ -20,6 +20,8 @@
 	closing bool
 	// tcp is set on TCP flows.
 	tcp bool
+	// first is set when this host saw the packet that opened the flow.
+	first bool
 	// seen is when this host last saw a packet of the flow.
 	seen seconds
 	// ownerSeen is when the slot's owner last saw or was told of the flow.
--- a/internal/flow/round.go
+++ b/internal/flow/round.go
@@ -137,8 +137,10 @@
 		}
 		m := Message{Kind: kind, Service: en.id, Version: en.version, Term: r.term, Round: r.id, Attempt: r.attempt, Slots: r.slots}
 		t := en.table.Load()
-		m.Upstreams = targetsOf(t)
-		m.Defaults = defaultsOf(t, &r.slots)
+		m.nameDefaults(t)
+		for i := range r.slots.All {
+			m.name(t, t.targets[i])
+		}
 		e.send(ref, m)
 	}
 }
--- a/internal/flow/sync.go
+++ b/internal/flow/sync.go
@@ -80,7 +80,7 @@
 func (e *Engine) sendState(en *entry, to hostRef, brief bool) {
 	t := en.table.Load()
 	hosts := *e.hosts.Load()
-	m := Message{Kind: State, Service: en.id, Version: en.version, Term: en.maxTerm, First: en.first, Upstreams: targetsOf(t)}
+	m := Message{Kind: State, Service: en.id, Version: en.version, Term: en.maxTerm, First: en.first}
 	m.Hosts = make([]host.ID, len(hosts))
 	for i := range hosts {
 		m.Hosts[i] = hosts[i].id
@@ -93,7 +93,7 @@
 		m.Slots.Add(i)
 		m.Owners = append(m.Owners, Owner{Host: uint16(s.owner), Tracked: s.mode == tracked, Term: s.term})
 	}
-	m.Defaults = defaultsOf(t, &m.Slots)
+	m.nameDefaults(t)
 	e.send(to, m)
 }
 
--- a/internal/flow/transfer.go
+++ b/internal/flow/transfer.go
@@ -12,35 +12,36 @@
 const youngAge seconds = 5
 
 // collect returns this host's records in the slots that their owner cannot
-// guess: flows off the default, flows without a recognisable first packet, and
-// flows so young that their first packet may come again. It notes that the
-// owner learns of them.
-func (e *Engine) collect(en *entry, slots *SlotSet) []Record {
+// guess: flows off the default, flows without a recognisable first packet and,
+// withYoung, flows so young that their first packet may come again. It notes
+// that the owner learns of them.
+func (e *Engine) collect(en *entry, slots *SlotSet, withYoung bool) []Record {
 	var found []Record
 	t := en.table.Load()
 	now := e.nowSeconds()
 	for i := range e.records.shards {
 		s := &e.records.shards[i]
 		s.mu.Lock()
-		found = appendRecords(found, s, s.confirmed, true, en, t, slots, now)
-		found = appendRecords(found, s, s.unconfirmed, false, en, t, slots, now)
+		found = appendRecords(found, s, s.confirmed, true, en, t, slots, now, withYoung)
+		found = appendRecords(found, s, s.unconfirmed, false, en, t, slots, now, withYoung)
 		s.mu.Unlock()
 	}
 	slices.SortFunc(found, func(a, b Record) int { return cmp.Compare(a.ID, b.ID) })
 	return found
 }
 
-func appendRecords(found []Record, s *shard, from map[ID]record, confirmed bool, en *entry, t *slotTable, slots *SlotSet, now seconds) []Record {
+func appendRecords(found []Record, s *shard, from map[ID]record, confirmed bool, en *entry, t *slotTable, slots *SlotSet, now seconds, withYoung bool) []Record {
 	for id, r := range from {
 		slot := int(id & slotMask)
 		if r.service != en.id || !slots.Has(slot) || now-r.seen > t.idle {
 			continue
 		}
-		young := now-r.ownerSeen <= youngAge
-		if r.tcp && !young && r.upstream == t.defaults[slot] {
+		guessable := r.tcp && r.upstream == t.defaults[slot]
+		young := r.first && now-r.ownerSeen <= youngAge
+		if guessable && !(young && withYoung) {
 			continue
 		}
-		found = append(found, Record{ID: id, Upstream: uint16(r.upstream), TCP: r.tcp, Confirmed: confirmed})
+		found = append(found, Record{ID: id, Upstream: uint16(r.upstream), TCP: r.tcp, First: r.first, Confirmed: confirmed})
 		r.ownerSeen = now
 		from[id] = r
 	}
@@ -55,7 +56,7 @@
 		if ref == noUpstream || !slots.Has(int(sent.ID&slotMask)) {
 			continue
 		}
-		r := record{service: en.id, upstream: ref, tcp: sent.TCP, seen: now, ownerSeen: now}
+		r := record{service: en.id, upstream: ref, tcp: sent.TCP, first: sent.First, seen: now, ownerSeen: now}
 		s := e.records.shard(sent.ID)
 		s.mu.Lock()
 		switch known, ok := s.peek(sent.ID); {
@@ -97,7 +98,7 @@
 func (e *Engine) replicas(en *entry, r *round) map[hostRef][]Message {
 	t := en.table.Load()
 	byBackup := make(map[hostRef][]Record)
-	for _, rec := range e.collect(en, &r.slots) {
+	for _, rec := range e.collect(en, &r.slots, false) {
 		backup := t.slot(int(rec.ID & slotMask)).backup
 		if backup != noHost && e.hostAlive(backup) {
 			byBackup[backup] = append(byBackup[backup], rec)
@@ -113,32 +114,50 @@
 	for backup, list := range records {
 		for part := 0; len(list) > 0; part++ {
 			n := min(len(list), MaxRecords)
-			messages[backup] = append(messages[backup], Message{
-				Kind: Replicate, Service: en.id, Version: en.version, Term: r.term, Round: r.id, Slots: r.slots,
-				Part: uint16(part), Upstreams: targetsOf(t), Records: list[:n],
-			})
+			m := Message{
+				Kind: Replicate, Service: en.id, Version: en.version, Term: r.term, Round: r.id, Slots: r.slots, Part: uint16(part),
+			}
+			m.nameRecords(t, list[:n])
+			messages[backup] = append(messages[backup], m)
 			list = list[n:]
 		}
 	}
 	return messages
 }
 
-// targetsOf returns the service's upstreams in the order of their references.
-func targetsOf(t *slotTable) []Target {
-	targets := make([]Target, min(len(t.upstreams), MaxUpstreams))
-	for i := range targets {
-		targets[i] = Target{Name: t.upstreams[i].name, Address: t.upstreams[i].address}
+// nameRecords gives the message records and the upstreams that they refer to.
+func (m *Message) nameRecords(t *slotTable, records []Record) {
+	m.Records = make(RecordList, len(records))
+	for i, r := range records {
+		r.Upstream = m.name(t, upstreamRef(r.Upstream))
+		m.Records[i] = r
+	}
+}
+
+// nameDefaults gives the message the defaults of its slots.
+func (m *Message) nameDefaults(t *slotTable) {
+	m.Defaults = make([]Default, 0, m.Slots.Len())
+	for i := range m.Slots.All {
+		m.Defaults = append(m.Defaults, Default{Upstream: m.name(t, t.defaults[i]), Term: t.slot(i).defaultTerm})
 	}
-	return targets
 }
 
-// defaultsOf returns the defaults of the slots.
-func defaultsOf(t *slotTable, slots *SlotSet) []Default {
-	defaults := make([]Default, 0, slots.Len())
-	for i := range slots.All {
-		defaults = append(defaults, Default{Upstream: uint16(t.defaults[i]), Term: t.slot(i).defaultTerm})
+// name returns the upstream's index in the message, adding it when it is new.
+func (m *Message) name(t *slotTable, ref upstreamRef) uint16 {
+	if ref == noUpstream {
+		return uint16(noUpstream)
+	}
+	u := t.upstreams[ref]
+	for i := range m.Upstreams {
+		if m.Upstreams[i].Address == u.address {
+			return uint16(i)
+		}
+	}
+	if len(m.Upstreams) == MaxUpstreams {
+		return uint16(noUpstream)
 	}
-	return defaults
+	m.Upstreams = append(m.Upstreams, Target{Name: u.name, Address: u.address})
+	return uint16(len(m.Upstreams) - 1)
 }
 
 // internTargets returns the references of a message's upstreams, learning new ones.
