Offer the library and print faults of files one a line

Cause: users run the host in a process of their own through the library; editors and scripts read file:section.key at the start of a line.

--- a/cmd/oatlatch/check.go
+++ b/cmd/oatlatch/check.go
@@ -3,7 +3,7 @@
 import (
 	"fmt"
 
-	"github.com/oatlatch/oatlatch/internal/collect"
+	"github.com/oatlatch/oatlatch"
 )
 
 // checkCommand checks service files.
@@ -13,7 +13,7 @@
 
 // Run prints what each file describes, or one line for each problem.
 func (c *checkCommand) Run() error {
-	services, err := collect.Directories(c.Dirs)
+	services, err := oatlatch.Collect(c.Dirs)
 	if err != nil {
 		return err
 	}
--- a/cmd/oatlatch/main.go
+++ b/cmd/oatlatch/main.go
@@ -31,7 +31,7 @@
 	)
 	if err := parsed.Run(); err != nil {
 		cancel()
-		parsed.Errorf("%s", err)
+		report(os.Stderr, err)
 		os.Exit(1)
 	}
 }
--- a/cmd/oatlatch/platform_flags.go
+++ b/cmd/oatlatch/platform_flags.go
@@ -6,7 +6,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/rs/zerolog"
 
-	"github.com/oatlatch/oatlatch/internal/platform"
+	"github.com/oatlatch/oatlatch"
 )
 
 // platformCallsPerSecond bounds the calls of one publication.
@@ -19,9 +19,9 @@
 	Deadline time.Duration `default:"2s" help:"Time limit of one call to the platform."`
 }
 
-func (f *platformFlags) open(seed uint64) (*platform.HTTP, error) {
-	return platform.NewHTTP(platform.Options{
+func (f *platformFlags) options(seed uint64) oatlatch.PlatformOptions {
+	return oatlatch.PlatformOptions{
 		Addresses: f.Platform, Token: f.Token, Deadline: f.Deadline, CallsPerSecond: platformCallsPerSecond,
 		Logger: zerolog.Nop(), Registerer: prometheus.NewRegistry(), Now: time.Now, Seed: seed,
-	})
+	}
 }
--- a/cmd/oatlatch/print_status.go
+++ b/cmd/oatlatch/print_status.go
@@ -7,11 +7,11 @@
 	"text/tabwriter"
 	"time"
 
-	"github.com/oatlatch/oatlatch/internal/daemon"
+	"github.com/oatlatch/oatlatch"
 )
 
 // printStatus writes what an operator looks at first; --json shows the rest.
-func printStatus(w io.Writer, s *daemon.Status) error {
+func printStatus(w io.Writer, s *oatlatch.HostStatus) error {
 	table := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
 	row := func(format string, args ...any) { fmt.Fprintf(table, format+"\n", args...) }
 	state := "ready"
@@ -34,13 +34,13 @@
 
 type printRow func(format string, args ...any)
 
-func printConfiguration(row printRow, s *daemon.Status) {
+func printConfiguration(row printRow, s *oatlatch.HostStatus) {
 	c := s.Configuration
 	row("configuration\tversion %d\tfrom %s at %s", c.Version, c.Source, c.AdoptedAt.Format(time.DateTime))
 	row("  platform\twatching %t\tfailed reads %d", c.Watching, c.WatchFailures)
 }
 
-func printFlows(row printRow, s *daemon.Status) {
+func printFlows(row printRow, s *oatlatch.HostStatus) {
 	row("flows\tconfirmed %d\tunconfirmed %d\tevicted %d", s.Flows.Confirmed, s.Flows.Unconfirmed, s.Flows.Evicted)
 	for _, f := range s.Flows.Services {
 		row("  %s\ttracked slots %d\towned here %d\tagreements pending %d", f.Name, f.TrackedSlots, f.OwnedSlots, f.PendingRounds)
@@ -58,7 +58,7 @@
 	}
 }
 
-func printRequests(row printRow, s *daemon.Status) {
+func printRequests(row printRow, s *oatlatch.HostStatus) {
 	row("requests\tin progress %d\tledgers %d", s.Requests.InProgress, s.Requests.Ledgers)
 	for _, o := range s.Requests.Outcomes {
 		row("  %s\t%s\t%d", o.Outcome, o.Reason, o.Count)
--- a/cmd/oatlatch/publish.go
+++ b/cmd/oatlatch/publish.go
@@ -8,8 +8,8 @@
 	"strings"
 	"time"
 
-	"github.com/oatlatch/oatlatch/internal/collect"
-	"github.com/oatlatch/oatlatch/internal/publisher"
+	"github.com/oatlatch/oatlatch"
+	"github.com/oatlatch/oatlatch/internal/config"
 )
 
 // publishCommand publishes service files.
@@ -17,22 +17,22 @@
 	platformFlags `embed:""`
 	Operator      string   `help:"Name recorded with the publication; the user's name by default."`
 	Remove        []string `placeholder:"NAME" help:"Services to remove from the configuration."`
+	Base          uint64   `placeholder:"VERSION" help:"Refuse to overwrite a service that was published after this version."`
+	Above         uint64   `placeholder:"VERSION" help:"Raise the new version above this one, after the platform was restored from an older copy."`
+	RotateKeys    bool     `help:"Add a new key for request tickets; former ones are still accepted."`
 	Dirs          []string `arg:"" name:"dir" help:"Directories that hold *.oatlatch files."`
 }
 
 // Run checks the files and writes them, and prints the version in force.
 func (c *publishCommand) Run(ctx context.Context) error {
-	services, err := collect.Directories(c.Dirs)
-	if err != nil {
-		return fmt.Errorf("nothing published:\n%w", err)
-	}
-	seed := uint64(time.Now().UnixNano())
-	port, err := c.open(seed)
+	services, err := oatlatch.Collect(c.Dirs)
 	if err != nil {
 		return err
 	}
-	result, err := publisher.Publish(ctx, port, publisher.Options{
-		Operator: c.operator(), Remove: c.Remove, Seed: seed, Now: time.Now,
+	seed := uint64(time.Now().UnixNano())
+	result, err := oatlatch.Publish(ctx, c.options(seed), oatlatch.PublishOptions{
+		Operator: c.operator(), Remove: c.Remove, Base: config.Version(c.Base), Above: config.Version(c.Above),
+		RotateTicketKeys: c.RotateKeys, Seed: seed, Now: time.Now,
 	}, services)
 	if err != nil {
 		return err
--- a/cmd/oatlatch/status.go
+++ b/cmd/oatlatch/status.go
@@ -7,7 +7,7 @@
 	"fmt"
 	"os"
 
-	"github.com/oatlatch/oatlatch/internal/daemon"
+	"github.com/oatlatch/oatlatch"
 )
 
 // errHostsNotRead is returned when the status of some host could not be read.
@@ -44,7 +44,7 @@
 		_, err := os.Stdout.Write(data)
 		return err
 	}
-	var status daemon.Status
+	var status oatlatch.HostStatus
 	if err := json.Unmarshal(data, &status); err != nil {
 		return fmt.Errorf("the host's status cannot be read, use the client of the daemon's version: %w", err)
 	}
--- a/cmd/oatlatchd/run.go
+++ b/cmd/oatlatchd/run.go
@@ -12,7 +12,7 @@
 
 	"github.com/rs/zerolog"
 
-	"github.com/oatlatch/oatlatch/internal/daemon"
+	"github.com/oatlatch/oatlatch"
 	"github.com/oatlatch/oatlatch/internal/host"
 	"github.com/oatlatch/oatlatch/internal/logging"
 	"github.com/oatlatch/oatlatch/internal/settings"
@@ -29,14 +29,11 @@
 // Run checks the settings and serves. SIGTERM or SIGINT stops gracefully, a
 // second one at once; SIGHUP reloads the keys.
 func (c *runCommand) Run() error {
-	if err := c.Check(); err != nil {
-		return err
-	}
 	logger, err := logging.New(os.Stdout, c.Log.Level)
 	if err != nil {
 		return err
 	}
-	d, err := daemon.New(daemon.Options{
+	d, err := oatlatch.NewHost(oatlatch.HostOptions{
 		Settings: c.Settings, Logger: logger, Now: time.Now,
 		Seed: randomUint64(), Incarnation: host.Incarnation(randomUint64()),
 	})
@@ -55,7 +52,7 @@
 
 // handleSignals returns a context that ends at the first stop signal and one
 // that ends at the second.
-func handleSignals(d *daemon.Daemon, logger zerolog.Logger) (stop, force context.Context) {
+func handleSignals(d *oatlatch.Host, logger zerolog.Logger) (stop, force context.Context) {
 	stop, cancelStop := context.WithCancel(context.Background())
 	force, cancelForce := context.WithCancel(context.Background())
 	signals := make(chan os.Signal, 4)
