Prove the promises with hosts in processes of their own

Cause: kills, freezes, outages of the platform and races of operators act on processes, which the in-process demo cannot show. Change: the demo's hosts are started by a launcher; the tests start oatlatchd processes and kill, stop and continue them by signals. Callers now repeat an opening packet until it is answered, as TCP does, and an opening packet alone does not make a flow.

--- a/internal/demo/flows.go
+++ b/internal/demo/flows.go
@@ -10,22 +10,24 @@
 	"github.com/oatlatch/oatlatch/internal/standin/fabric"
 )
 
-// callerFlow is one flow that a caller holds open.
-type callerFlow struct {
-	service     string
+// flowID names a flow as callers and upstreams see it.
+type flowID struct {
 	source      netip.AddrPort
 	destination netip.AddrPort
 }
 
-// flowLoad opens flows at a steady rate and sends a packet on each once a
-// packet interval, through to the end of the demo.
+// flowLoad opens flows at a steady rate and sends a packet on each open flow
+// once a packet interval, through to the end of the demo. An opening packet
+// without an answer is repeated, as TCP does.
 type flowLoad struct {
-	fabric *fabric.Fabric
+	fabric  *fabric.Fabric
+	answers *answers
 
-	mu    sync.Mutex
-	flows []callerFlow
-	sent  uint64
-	err   error
+	mu      sync.Mutex
+	opening []flowID
+	flows   []flowID
+	sent    uint64
+	err     error
 }
 
 // run opens flows to the services in turn until ctx ends.
@@ -48,18 +50,41 @@
 		}
 		for range flowsPerSecond / 20 * len(services) {
 			s := services[number%len(services)]
-			l.openOne(callerFlow{service: s.Name, source: callerAddress(number), destination: s.Address})
+			l.openOne(flowID{source: callerAddress(number), destination: s.Address})
 			number++
 		}
 	}
 }
 
-func (l *flowLoad) openOne(f callerFlow) {
+func (l *flowLoad) openOne(f flowID) {
+	l.mu.Lock()
+	l.opening = append(l.opening, f)
+	l.mu.Unlock()
 	l.send(f, fabric.First)
-	l.send(f, fabric.Middle)
+}
+
+// confirm moves answered flows to the open ones and repeats the opening
+// packets of the others.
+func (l *flowLoad) confirm() {
 	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.flows = append(l.flows, f)
+	waiting := l.opening
+	l.opening = nil
+	l.mu.Unlock()
+	for _, f := range waiting {
+		answered := l.answers.has(f)
+		l.mu.Lock()
+		if answered {
+			l.flows = append(l.flows, f)
+		} else {
+			l.opening = append(l.opening, f)
+		}
+		l.mu.Unlock()
+		if answered {
+			l.send(f, fabric.Middle)
+		} else {
+			l.send(f, fabric.First)
+		}
+	}
 }
 
 // keepAlive sends a packet on every open flow, spread over each interval.
@@ -73,6 +98,9 @@
 			return
 		case <-ticker.C:
 		}
+		if round == 0 {
+			l.confirm()
+		}
 		flows := l.snapshot()
 		for i := round; i < len(flows); i += rounds {
 			l.send(flows[i], fabric.Middle)
@@ -80,7 +108,7 @@
 	}
 }
 
-func (l *flowLoad) send(f callerFlow, kind fabric.Kind) {
+func (l *flowLoad) send(f flowID, kind fabric.Kind) {
 	err := l.fabric.Send(fabric.Packet{Source: f.source, Destination: f.destination, Kind: kind, Payload: []byte("watch")})
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -91,7 +119,7 @@
 	l.sent++
 }
 
-func (l *flowLoad) snapshot() []callerFlow {
+func (l *flowLoad) snapshot() []flowID {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	return l.flows[:len(l.flows):len(l.flows)]
--- a/internal/demo/observe.go
+++ b/internal/demo/observe.go
@@ -1,7 +1,6 @@
 package demo
 
 import (
-	"net/netip"
 	"time"
 
 	"github.com/oatlatch/oatlatch/callers"
@@ -9,13 +8,8 @@
 	"github.com/oatlatch/oatlatch/internal/standin/fabric"
 )
 
-// flowID names a flow as upstreams see it.
-type flowID struct {
-	source      netip.AddrPort
-	destination netip.AddrPort
-}
-
-// sighting is one upstream at which a flow's packets arrived.
+// sighting is one upstream at which packets of an open flow arrived. A stray
+// opening packet is none: the caller resets what it did not ask for.
 type sighting struct {
 	target  int
 	packets uint64
@@ -80,17 +74,16 @@
 }
 
 // waitForProbes returns the flows whose probe has not arrived at their upstream in time.
-func (r *run) waitForProbes(waiting []callerFlow, before map[flowID][]sighting) ([]callerFlow, error) {
+func (r *run) waitForProbes(waiting []flowID, before map[flowID][]sighting) ([]flowID, error) {
 	deadline := time.Now().Add(settleTimeout)
 	for len(waiting) > 0 && time.Now().Before(deadline) {
 		if err := pause(r.ctx, pollInterval); err != nil {
 			return nil, err
 		}
 		after := r.sightings()
-		var missing []callerFlow
+		var missing []flowID
 		for _, f := range waiting {
-			id := flowID{f.source, f.destination}
-			if packets(after[id]) <= packets(before[id]) {
+			if packets(after[f]) <= packets(before[f]) {
 				missing = append(missing, f)
 			}
 		}
@@ -111,8 +104,11 @@
 	seen := make(map[flowID][]sighting)
 	for i, t := range r.targets {
 		for _, count := range t.upstream.Flows() {
+			if count.Packets == count.Opening {
+				continue
+			}
 			id := flowID{count.Flow.Source, count.Flow.Destination}
-			seen[id] = append(seen[id], sighting{target: i, packets: count.Packets})
+			seen[id] = append(seen[id], sighting{target: i, packets: count.Packets - count.Opening})
 		}
 	}
 	return seen
--- a/internal/demo/options.go
+++ b/internal/demo/options.go
@@ -20,6 +20,11 @@
 	Progress io.Writer
 	// Logger takes the hosts' events.
 	Logger zerolog.Logger
+
+	// launch starts hosts; nil starts them within this process.
+	launch launcher
+	// steps are the changes made under load; nil makes the demo's own.
+	steps func(*run) []step
 }
 
 // Sizes of the demo's load.
--- a/internal/demo/run.go
+++ b/internal/demo/run.go
@@ -32,6 +32,12 @@
 	group, groupCtx := errgroup.WithContext(ctx)
 	running, stop := context.WithCancel(groupCtx)
 	defer stop()
+	if options.launch == nil {
+		options.launch = launchLocal(options.Seed, options.Logger)
+	}
+	if options.steps == nil {
+		options.steps = (*run).steps
+	}
 	report, err := runDeployment(running, group, options)
 	stop()
 	if waitErr := group.Wait(); err == nil && waitErr != nil {
@@ -42,14 +48,11 @@
 
 func runDeployment(ctx context.Context, group *errgroup.Group, options Options) (*Report, error) {
 	d, err := newDeployment(ctx, group, options)
+	defer d.close()
 	if err != nil {
 		return nil, err
 	}
-	defer d.fabric.Close()
-	r := &run{deployment: d, flows: flowLoad{fabric: d.fabric}}
-	if err := d.tellUpstreams(); err != nil {
-		return nil, err
-	}
+	r := &run{deployment: d, flows: flowLoad{fabric: d.fabric, answers: d.answers}}
 	r.progress("%d hosts serve %d services with %d upstreams", hostCount, len(d.services), len(d.targets))
 	if err := r.load(); err != nil {
 		return nil, err
@@ -77,7 +80,7 @@
 
 func (r *run) schedule(ctx context.Context) error {
 	started := time.Now()
-	for _, s := range r.steps() {
+	for _, s := range r.options.steps(r) {
 		due := time.Duration(s.at * float64(r.options.Duration))
 		if err := pause(ctx, due-time.Since(started)); err != nil {
 			return fmt.Errorf("the demo ended before the step %q, give it more --seconds", s.name)
--- a/internal/standin/upstream/options.go
+++ b/internal/standin/upstream/options.go
@@ -25,6 +25,9 @@
 	// ColdStart is the time after the start in which work takes up to ColdFactor times longer.
 	ColdStart  time.Duration
 	ColdFactor float64
+	// OnPacket is called for each packet, from one goroutine; nil for none. It
+	// stands for the answer that an upstream would send straight to the caller.
+	OnPacket func(Flow)
 	// Now defaults to time.Now.
 	Now func() time.Time
 }
