Let a host that stood still ask for state before it decides

Cause: a process stopped for longer than the others need to take it for dead wakes with packets in its socket and decides them as the owner that it no longer is. Seen with four oatlatchd processes, one stopped by a signal for 4 s: 47 of 6,000 flows reached two upstreams. Ruled out: the queue of control messages, since all the moves fall into the first milliseconds after the wake, before any step. Change: each step notes its time; a decision or step more than 1.5 s later (below the 1.8 s in which membership gives a host up) treats the host as one that is not ready: it passes packets on and asks all members for the state of its services, keeping its own records.

--- a/internal/flow/decide.go
+++ b/internal/flow/decide.go
@@ -38,6 +38,7 @@
 	// The table is read under the lock: a change of mode that precedes the
 	// collection of this shard's records is seen by every later insertion.
 	d.table = entry.table.Load()
+	d.usable = d.table.ready && !e.paused(now)
 	decision := d.decide()
 	d.shard.mu.Unlock()
 	decision.Service = entry.id
@@ -57,6 +58,8 @@
 	slot   slot
 	record record
 	found  bool
+	// usable is set while this host's state is known to be current.
+	usable bool
 	// confirmed is set when this packet confirmed the record.
 	confirmed bool
 }
@@ -66,7 +69,7 @@
 	if d.packet.Relay.Kind == RelayRecord {
 		return d.recordAsBackup()
 	}
-	if !d.table.ready {
+	if !d.usable {
 		return d.passToAny()
 	}
 	if d.slot.mode == plain && d.engine.isLeaving() {
--- a/internal/flow/engine.go
+++ b/internal/flow/engine.go
@@ -20,6 +20,8 @@
 	records *records
 	view    atomic.Pointer[view]
 	hosts   atomic.Pointer[hostList]
+	// stepped is the time of the last step.
+	stepped atomic.Pointer[time.Time]
 
 	// mu serialises Step and guards what follows.
 	mu      sync.Mutex
@@ -65,6 +67,10 @@
 	defer e.mu.Unlock()
 	e.now = now
 	e.actions = nil
+	if e.paused(now) {
+		e.resume()
+	}
+	e.stepped.Store(&now)
 	switch event := event.(type) {
 	case Adopted:
 		e.adopt(event.Snapshot)
--- a/internal/flow/entry.go
+++ b/internal/flow/entry.go
@@ -51,6 +51,9 @@
 	greeting map[hostRef]bool
 	// greetedAt is when members were last asked.
 	greetedAt time.Time
+	// resuming is set while this host asks for state after a pause; its records
+	// are still good then.
+	resuming bool
 	// orphanedAt is when the owner of orphaned slots was last asked for.
 	orphanedAt time.Time
 	// orphaned is set while tracked slots lack a live owner.
--- a/internal/flow/status.go
+++ b/internal/flow/status.go
@@ -15,6 +15,8 @@
 	// Received counts messages, Invalid those that were dropped as not valid.
 	Received uint64
 	Invalid  uint64
+	// Pauses counts the times this process stood still so long that it asked for state again.
+	Pauses uint64
 }
 
 // Status is what an engine holds, for operators.
--- a/internal/flow/sync.go
+++ b/internal/flow/sync.go
@@ -23,7 +23,7 @@
 	en.greetedAt = e.now
 	for _, ref := range e.peers() {
 		if en.greeting[ref] {
-			e.send(ref, Message{Kind: Hello, Service: en.id, Version: en.version, Fresh: true})
+			e.send(ref, Message{Kind: Hello, Service: en.id, Version: en.version, Fresh: !en.resuming})
 		}
 	}
 }
@@ -34,6 +34,7 @@
 		return
 	}
 	en.greeting = nil
+	en.resuming = false
 	e.edit(en, func(t *slotTable) { t.ready = true })
 	en.dirty = true
 }
@@ -57,7 +58,7 @@
 		if !en.table.Load().ready {
 			if en.greeting != nil {
 				en.greeting[ref] = true
-				e.send(ref, Message{Kind: Hello, Service: en.id, Version: en.version, Fresh: true})
+				e.send(ref, Message{Kind: Hello, Service: en.id, Version: en.version, Fresh: !en.resuming})
 			}
 			continue
 		}
@@ -110,7 +111,7 @@
 // older ones asks for a new round, so that the slots' owner learns its records.
 func (e *Engine) mergeState(en *entry, m *Message) {
 	refs := e.internTargets(en, m.Upstreams)
-	ready := en.table.Load().ready
+	ready := en.table.Load().ready || en.resuming
 	var repair SlotSet
 	e.edit(en, func(t *slotTable) {
 		n := 0
