Test the adapter's outcomes and starts with a slow platform

Cause: the adapter's promise, no effect or unknown effect, was tested for a lost answer only; a redirect of a write would have been followed.

--- a/internal/adopt/runner_test.go
+++ b/internal/adopt/runner_test.go
@@ -40,17 +40,24 @@
 	}
 }
 
-func TestStartWithThePlatformDown(t *testing.T) {
-	g := gomega.NewWithT(t)
-	store, f := fake.NewStore(), newFleet()
-	version := publish(t, store, 1, svc("a", 1, 1))
-	running := f.start(t, 0, 1, fake.NewPort(store))
-	g.Eventually(running.version, inForce).Should(gomega.Equal(version))
-	down := fake.NewPort(store)
-	down.SetFaults(fake.Faults{Down: true})
-	fresh := f.start(t, 1, 1, down)
-	f.shareMembers()
-	g.Eventually(fresh.version, 2*time.Second).Should(gomega.Equal(version))
+func TestStartWithoutThePlatform(t *testing.T) {
+	for name, faults := range map[string]fake.Faults{
+		"down": {Down: true},
+		"slow": {Delay: time.Minute},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			store, f := fake.NewStore(), newFleet()
+			version := publish(t, store, 1, svc("a", 1, 1))
+			running := f.start(t, 0, 1, fake.NewPort(store))
+			g.Eventually(running.version, inForce).Should(gomega.Equal(version))
+			port := fake.NewPort(store)
+			port.SetFaults(faults)
+			fresh := f.start(t, 1, 1, port)
+			f.shareMembers()
+			g.Eventually(fresh.version, 2*time.Second).Should(gomega.Equal(version))
+		})
+	}
 }
 
 func TestStartWithNeitherRefusesAndRecovers(t *testing.T) {
--- a/internal/platform/http.go
+++ b/internal/platform/http.go
@@ -49,11 +49,17 @@
 		DialContext:         (&net.Dialer{Timeout: options.Deadline}).DialContext,
 		MaxIdleConnsPerHost: 4,
 		IdleConnTimeout:     time.Minute,
+		TLSClientConfig:     options.TLS,
+	}
+	client := &http.Client{
+		Transport: transport,
+		// A redirected write would be sent twice.
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
 	burst := max(1, int(options.CallsPerSecond))
 	return &HTTP{
 		options: options,
-		client:  &http.Client{Transport: transport},
+		client:  client,
 		limiter: rate.NewLimiter(rate.Limit(options.CallsPerSecond), burst),
 		metrics: newMetrics(options.Registerer),
 		logger:  options.Logger.With().Str("component", "platform").Logger(),
@@ -129,7 +135,7 @@
 	switch {
 	case got.status == http.StatusOK && (text == "true" || text == "false"):
 		return text == "true", nil
-	case got.status >= 400 && got.status < 500:
+	case got.status >= 300 && got.status < 500:
 		return false, &UnavailableError{Call: r.call, Key: r.key, Err: &statusError{got.status, text}}
 	default:
 		// A server error may follow a committed write.
--- a/internal/platform/options.go
+++ b/internal/platform/options.go
@@ -1,6 +1,7 @@
 package platform
 
 import (
+	"crypto/tls"
 	"math/rand/v2"
 	"net/url"
 	"time"
@@ -28,6 +29,8 @@
 	Addresses []string
 	// Token is sent as X-Consul-Token when it is not empty.
 	Token string
+	// TLS configures https addresses; nil trusts the system's authorities.
+	TLS *tls.Config
 	// Deadline bounds one call other than a watch.
 	Deadline time.Duration
 	// WatchWait is how long the platform holds a watch without a change.
--- a/internal/standin/platform/standin_test.go
+++ b/internal/standin/platform/standin_test.go
@@ -90,6 +90,10 @@
 func TestLostAnswerIsAmbiguousAndTookEffect(t *testing.T) {
 	server, client := start(t)
 	ctx := context.Background()
+	// A connection that is in use already is one on which net/http may send again.
+	if _, err := client.Get(ctx, "k"); err != nil {
+		t.Fatal(err)
+	}
 	server.SetFaults(fake.Faults{LoseAnswers: 1})
 	_, err := client.CompareAndSwap(ctx, "k", []byte("v"), 0)
 	var ambiguous *port.AmbiguousError
