Quieten membership and prove it under loss, cuts and restarts

Cause: messages that only pass records counted as signs of life, so that contacts kept each other up: 59 messages and 11.8 KB a second and host at 50 hosts. A replaced process inherited the old one's age and looked suspect. Change: only probes are signs of life; contacts and probe targets follow changes together after a delay unless a member would be out of reach; records wait up to 50 ms for others; addresses out of the view are tried in turn, three at once while alone.

--- a/internal/membership/entry.go
+++ b/internal/membership/entry.go
@@ -15,8 +15,8 @@
 	described bool
 	// heardAt is when a message of the member's process last arrived.
 	heardAt time.Time
-	// contact is set while heardAt is within the contact window.
-	contact bool
+	// contactSince is when the present contact began.
+	contactSince time.Time
 	// reached is set while a chain of contacts leads to the member.
 	reached bool
 	// reachedAt is when the member was last reached first.
--- a/internal/membership/fleet_test.go
+++ b/internal/membership/fleet_test.go
@@ -68,6 +68,8 @@
 	// hosts are in the order in which they started.
 	hosts     []*testHost
 	byAddress map[netip.AddrPort]*testHost
+	// seeds are the addresses by which hosts join.
+	seeds []netip.AddrPort
 	// loss is the fraction of messages that are lost.
 	loss float64
 	// cut reports whether two hosts cannot reach each other.
@@ -83,6 +85,7 @@
 		now:       testStart,
 		random:    rand.New(rand.NewPCG(seed, 1)),
 		byAddress: make(map[netip.AddrPort]*testHost),
+		seeds:     []netip.AddrPort{testAddress(0), testAddress(1)},
 	}
 	f.encoder = gob.NewEncoder(&f.scratch)
 	return f
@@ -92,8 +95,17 @@
 	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(i >> 8), byte(i)}), 7000)
 }
 
-// start starts a process of host i in one of the data centres, which joins by host 0.
+// start starts a process of host i in one of the data centres, which joins by the
+// seeds.
 func (f *fleet) start(i, dataCentres int) *testHost {
+	h := f.create(i, dataCentres)
+	f.hosts = append(f.hosts, h)
+	f.step(h)
+	return h
+}
+
+// create makes a process of host i that has not begun to step.
+func (f *fleet) create(i, dataCentres int) *testHost {
 	h := &testHost{alive: true, host: host.Host{
 		ID:             host.ID(fmt.Sprintf("dc-%d/entry-%d", i%dataCentres, i)),
 		Incarnation:    host.Incarnation(f.random.Uint64()),
@@ -103,10 +115,8 @@
 		PacketAddress:  testAddress(i),
 		RequestAddress: testAddress(i),
 	}}
-	h.node = New(f.now, Config{Self: h.host, Seed: f.random.Uint64(), Seeds: []netip.AddrPort{testAddress(0), testAddress(1)}})
-	f.hosts = append(f.hosts, h)
+	h.node = New(f.now, Config{Self: h.host, Seed: f.random.Uint64(), Seeds: f.seeds})
 	f.byAddress[h.host.PeerAddress] = h
-	f.step(h)
 	return h
 }
 
@@ -117,6 +127,55 @@
 	}
 }
 
+// newWarmFleet returns a fleet of n hosts that already know each other and are in
+// contact along their rings.
+func newWarmFleet(seed uint64, n, dataCentres int) *fleet {
+	f := newFleet(seed)
+	for i := range n {
+		f.hosts = append(f.hosts, f.create(i, dataCentres))
+	}
+	for _, h := range f.hosts {
+		for _, other := range f.hosts {
+			h.node.merge(f.now, "", []Record{other.node.self.export(true)})
+		}
+		for _, e := range h.node.order {
+			e.reached, e.reachedAt = true, f.now
+		}
+	}
+	for _, h := range f.hosts {
+		for _, e := range h.node.targets() {
+			h.node.heard(f.now, e.record.ID, processOf(e.record.Incarnation), true)
+			f.byAddress[e.host.PeerAddress].node.heard(f.now, h.host.ID, processOf(h.host.Incarnation), true)
+		}
+	}
+	for _, h := range f.hosts {
+		h.node.self.record.Contacts = h.node.contactKeys()
+		h.node.publishDue = time.Time{}
+	}
+	for _, h := range f.hosts {
+		h.node.settleWarm(f)
+		f.step(h)
+	}
+	f.run(2*time.Second, nil)
+	return f
+}
+
+// settleWarm takes in all records and begins the probes at random times.
+func (n *Node) settleWarm(f *fleet) {
+	for _, h := range f.hosts {
+		n.entries[h.host.ID].record.Contacts = h.node.self.record.Contacts
+	}
+	n.stale, n.updateDue = true, time.Time{}
+	n.update(f.now)
+	n.setTargets(f.now, n.targets())
+	n.retargetDue = time.Time{}
+	clear(n.pending)
+	for _, id := range sortedIDs(n.probes) {
+		n.probes[id].answered = true
+		n.probes[id].sentAt = f.now.Add(-time.Duration(f.random.Int64N(int64(probeInterval))))
+	}
+}
+
 func (f *fleet) schedule(after time.Duration, run func()) {
 	f.seq++
 	heap.Push(&f.queue, event{at: f.now.Add(after), seq: f.seq, run: run})
@@ -218,12 +277,17 @@
 
 // runUntil lets time pass until done or the limit and returns the time it took.
 func (f *fleet) runUntil(limit time.Duration, done func() bool) (time.Duration, bool) {
+	return f.runUntilChecked(limit, nil, done)
+}
+
+// runUntilChecked is runUntil with a check after every event.
+func (f *fleet) runUntilChecked(limit time.Duration, check func(), done func() bool) (time.Duration, bool) {
 	began := f.now
 	for f.now.Sub(began) < limit {
 		if done() {
 			return f.now.Sub(began), true
 		}
-		f.run(20*time.Millisecond, nil)
+		f.run(20*time.Millisecond, check)
 	}
 	return limit, done()
 }
--- a/internal/membership/handle.go
+++ b/internal/membership/handle.go
@@ -15,7 +15,7 @@
 // Request handles the request of another host and returns the answer.
 func (n *Node) Request(now time.Time, request Message) Message {
 	n.merge(now, request.From, request.Records)
-	known := n.heard(now, request.From, request.Process)
+	known := n.heard(now, request.From, request.Process, request.Probe)
 	n.update(now)
 	answer := n.message()
 	answer.From = ""
@@ -41,7 +41,7 @@
 	}
 	n.settle(send, true)
 	n.merge(now, from, answer.Records)
-	n.heard(now, from, answer.Process)
+	n.heard(now, from, answer.Process, send.Message.Probe)
 	n.update(now)
 	e := n.entries[from]
 	if e == nil || e == n.self {
@@ -69,29 +69,28 @@
 
 // settle ends the accounting of an exchange.
 func (n *Node) settle(send Send, answered bool) {
-	if p := n.probes[send.To.ID]; p != nil && !send.spreads {
+	if p := n.probes[send.To.ID]; p != nil && send.Message.Probe {
 		p.outstanding = max(0, p.outstanding-1)
 		p.answered = answered || p.answered
 	}
-	if s := n.pending[send.To.ID]; s != nil && send.spreads {
+	if s := n.pending[send.To.ID]; s != nil && !send.Message.Probe {
 		s.outstanding = max(0, s.outstanding-1)
 	}
 }
 
-// heard notes that a process of a host has sent something. It reports whether the
-// process is known.
-func (n *Node) heard(now time.Time, from host.ID, process uint32) bool {
+// heard notes that a process of a host has taken part in an exchange. It reports
+// whether the process is known.
+func (n *Node) heard(now time.Time, from host.ID, process uint32, probe bool) bool {
 	e := n.entries[from]
 	if e == n.self || e == nil || !e.described || processOf(e.record.Incarnation) != process {
 		return false
 	}
-	if e.record.Phase == Left {
+	if e.record.Phase == Left || !probe {
 		return true
 	}
 	e.heardAt = now
-	if !e.contact {
-		e.contact = true
-		n.stale = true
+	if !n.inContact(e) {
+		n.beginContact(now, e)
 	}
 	return true
 }
@@ -155,9 +154,8 @@
 	description := record.Host
 	e.record = record
 	e.describe(description)
-	if record.Phase == Left && e.contact {
-		e.contact = false
-		n.stale = true
+	if record.Phase == Left && n.inContact(e) {
+		n.endContact(e)
 	}
 }
 
@@ -168,13 +166,12 @@
 	}
 	e.key = record.key()
 	n.byKey[e.key] = e
-	e.described = false
+	e.described, e.reachedAt = false, n.lastStep
 	delete(n.probes, e.record.ID)
 	delete(n.pending, e.record.ID)
-	n.retarget = true
-	if e.contact {
-		e.contact = false
-		n.stale = true
+	n.retargetBy(n.lastStep)
+	if n.inContact(e) {
+		n.endContact(e)
 	}
 }
 
--- a/internal/membership/heal.go
+++ b/internal/membership/heal.go
@@ -6,25 +6,28 @@
 	"time"
 )
 
-// heal appends an exchange with one host out of the view, so that hosts find each
-// other at the start and after a partition.
+// heal appends exchanges with hosts out of the view, each in its turn, so that hosts
+// find each other at the start and after a partition.
 func (n *Node) heal(now time.Time, sends []Send) []Send {
 	if now.Before(n.nextHeal) {
 		return sends
 	}
-	interval := healInterval
+	interval, attempts := healInterval, 1
 	if len(n.probes) == 0 {
-		interval = isolatedHealInterval
+		interval, attempts = isolatedHealInterval, isolatedHealAttempts
 	}
 	n.nextHeal = now.Add(interval/2 + time.Duration(n.random.Int64N(int64(interval))))
 	candidates := n.healCandidates()
-	if len(candidates) == 0 {
-		return sends
-	}
 	message := n.message()
+	message.Probe = true
+	message.Records = []Record{n.self.export(true)}
 	message.Introduce, message.Sync, message.Digest = true, true, n.digest()
-	address := candidates[n.random.IntN(len(candidates))]
-	return append(sends, Send{To: Target{Address: address}, Message: message})
+	for range min(attempts, len(candidates)) {
+		address := candidates[n.healTurn%len(candidates)]
+		n.healTurn++
+		sends = append(sends, Send{To: Target{Address: address}, Message: message})
+	}
+	return sends
 }
 
 // healCandidates lists the known addresses that belong to no live member.
--- a/internal/membership/message.go
+++ b/internal/membership/message.go
@@ -13,6 +13,9 @@
 	From host.ID
 	// Process identifies the sender's process.
 	Process uint32
+	// Probe is set when the exchange is a sign of life. Exchanges that only pass
+	// records are none, because they follow contacts and would keep them up.
+	Probe bool
 	// Summary is a hash over the versions of all records of live members.
 	Summary uint32
 	Records []Record
@@ -45,8 +48,6 @@
 type Send struct {
 	To      Target
 	Message Message
-	// spreads is set when the request was made for the sake of its records.
-	spreads bool
 }
 
 // processOf returns the short form of an incarnation in messages.
--- a/internal/membership/node.go
+++ b/internal/membership/node.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"math"
 	"math/rand/v2"
 	"net/netip"
 	"slices"
@@ -37,20 +38,28 @@
 	order []*entry
 	byKey map[Key]*entry
 
+	// contacts are the members heard within the contact window.
+	contacts map[host.ID]*entry
+	// publishDue is when the contacts are to be published; zero when they are.
+	publishDue time.Time
+
 	probes  map[host.ID]*probe
 	pending map[host.ID]*spread
 
 	// stale means that reachability must be computed again, not before updateDue.
 	stale     bool
 	updateDue time.Time
-	// retarget means that the set of live members has changed.
-	retarget bool
-	changed  bool
-	view     View
-	summary  uint32
+	// retargetDue is when the probe targets follow a change of the live members;
+	// zero when they have.
+	retargetDue time.Time
+	changed     bool
+	view        View
+	summary     uint32
 
-	lastStep  time.Time
-	nextHeal  time.Time
+	lastStep time.Time
+	nextHeal time.Time
+	// healTurn counts the attempts to reach hosts out of the view.
+	healTurn  int
 	nextSync  time.Time
 	startedAt time.Time
 	hints     []Hint
@@ -66,6 +75,7 @@
 		entries:      make(map[host.ID]*entry),
 		byKey:        make(map[Key]*entry),
 		probes:       make(map[host.ID]*probe),
+		contacts:     make(map[host.ID]*entry),
 		pending:      make(map[host.ID]*spread),
 		lastStep:     now,
 		nextHeal:     now,
@@ -81,6 +91,7 @@
 		Phase:       Active,
 		Host:        &description,
 	})
+	n.healTurn = n.random.IntN(math.MaxInt16)
 	n.self.reached, n.self.reachedAt = true, now
 	n.stale = true
 	n.update(now)
@@ -116,6 +127,7 @@
 	}
 	delete(n.probes, e.record.ID)
 	delete(n.pending, e.record.ID)
+	delete(n.contacts, e.record.ID)
 	n.order = slices.DeleteFunc(n.order, func(other *entry) bool { return other == e })
 }
 
@@ -158,10 +170,14 @@
 			next = earlier(next, s.notBefore)
 		}
 	}
-	for _, e := range n.order {
-		if e.contact {
-			next = earlier(next, e.heardAt.Add(contactWindow))
-		}
+	for _, e := range n.contacts {
+		next = earlier(next, e.heardAt.Add(contactWindow))
+	}
+	if !n.retargetDue.IsZero() {
+		next = earlier(next, n.retargetDue)
+	}
+	if !n.publishDue.IsZero() {
+		next = earlier(next, n.publishDue)
 	}
 	return next
 }
@@ -181,22 +197,21 @@
 	if gap < pauseThreshold {
 		return
 	}
-	for _, e := range n.order {
-		if e.contact {
-			e.heardAt = e.heardAt.Add(gap)
-		}
+	for _, e := range n.contacts {
+		e.heardAt = e.heardAt.Add(gap)
 	}
 }
 
 // expire ends contacts with hosts that have been silent and forgets hosts that
 // have long been dead.
 func (n *Node) expire(now time.Time) {
+	for _, e := range n.contacts {
+		if now.Sub(e.heardAt) >= contactWindow {
+			n.endContact(e)
+		}
+	}
 	var forgotten []*entry
 	for _, e := range n.order {
-		if e.contact && now.Sub(e.heardAt) >= contactWindow {
-			e.contact = false
-			n.stale = true
-		}
 		if !e.reached && !e.lostAt.IsZero() && now.Sub(e.lostAt) >= deadRetention {
 			forgotten = append(forgotten, e)
 		}
@@ -236,7 +251,7 @@
 // Announced reports whether all hosts in contact have this host's newest record.
 func (n *Node) Announced() bool {
 	for id, s := range n.pending {
-		if _, waiting := s.records[n.self.record.ID]; waiting && n.entries[id].contact {
+		if _, waiting := s.records[n.self.record.ID]; waiting && n.inContact(n.entries[id]) {
 			return false
 		}
 	}
@@ -249,18 +264,3 @@
 	n.stale = true
 	n.spreadRecord(n.self, "")
 }
-
-// publishContacts writes the contacts into this host's own record.
-func (n *Node) publishContacts() {
-	var contacts []Key
-	for _, e := range n.order {
-		if e.contact && len(contacts) < maxContacts {
-			contacts = append(contacts, e.key)
-		}
-	}
-	if slices.Equal(contacts, n.self.record.Contacts) {
-		return
-	}
-	n.self.record.Contacts = contacts
-	n.bump()
-}
--- a/internal/membership/probe.go
+++ b/internal/membership/probe.go
@@ -47,16 +47,17 @@
 		}
 		p.outstanding++
 		p.answered = false
-		sends = append(sends, n.send(now, n.entries[id], false))
+		sends = append(sends, n.send(now, n.entries[id], true))
 	}
 	return sends
 }
 
 // send returns an exchange with a member that carries the records it lacks.
-func (n *Node) send(now time.Time, e *entry, spreads bool) Send {
+func (n *Node) send(now time.Time, e *entry, probe bool) Send {
 	message := n.message()
+	message.Probe = probe
 	message.Records = n.takeRecords(now, e.record.ID)
-	return Send{To: Target{ID: e.record.ID, Address: e.host.PeerAddress}, Message: message, spreads: spreads}
+	return Send{To: Target{ID: e.record.ID, Address: e.host.PeerAddress}, Message: message}
 }
 
 // message returns a message without records.
--- a/internal/membership/reach.go
+++ b/internal/membership/reach.go
@@ -12,17 +12,17 @@
 // update brings reachability, the view and the probe targets up to date, at most
 // once in updateInterval.
 func (n *Node) update(now time.Time) {
+	n.publishContacts(now)
+	if !n.retargetDue.IsZero() && !now.Before(n.retargetDue) {
+		n.retargetDue = time.Time{}
+		n.setTargets(now, n.targets())
+	}
 	if !n.stale || now.Before(n.updateDue) {
 		return
 	}
 	n.updateDue = now.Add(updateInterval)
-	n.publishContacts()
 	n.stale = false
 	n.reach(now)
-	if n.retarget {
-		n.retarget = false
-		n.setTargets(now, n.targets())
-	}
 	n.summarize()
 	n.buildView(now)
 }
@@ -33,8 +33,14 @@
 	for _, e := range n.order {
 		e.vouchers = 0
 	}
-	queue := []*entry{n.self}
 	reached[n.self] = true
+	queue := make([]*entry, 0, len(n.order))
+	for _, e := range n.order {
+		if n.inContact(e) {
+			e.vouchers, reached[e] = 1, true
+			queue = append(queue, e)
+		}
+	}
 	for len(queue) > 0 {
 		e := queue[0]
 		queue = queue[1:]
@@ -61,7 +67,7 @@
 		return
 	}
 	e.reached = reached
-	n.retarget = true
+	n.retargetBy(now)
 	if reached {
 		e.reachedAt = now
 		return
@@ -69,6 +75,16 @@
 	e.lostAt = now
 }
 
+// retargetBy has the probe targets follow the live members after a delay, or at
+// once while there are none.
+func (n *Node) retargetBy(now time.Time) {
+	if len(n.probes) == 0 {
+		n.retargetDue = now
+	} else if n.retargetDue.IsZero() {
+		n.retargetDue = now.Add(retargetDelay)
+	}
+}
+
 // summarize hashes the versions of all live members' records.
 func (n *Node) summarize() {
 	n.summary = 0
--- a/internal/membership/spread.go
+++ b/internal/membership/spread.go
@@ -1,6 +1,7 @@
 package membership
 
 import (
+	"slices"
 	"time"
 
 	"github.com/oatlatch/oatlatch/internal/host"
@@ -17,19 +18,32 @@
 	outstanding int
 }
 
-// spreadRecord queues a record for every host in contact but the one it came from.
+// spreadRecord queues a record for the hosts in contact but the one it came from.
 func (n *Node) spreadRecord(e *entry, from host.ID) {
-	for _, neighbour := range n.order {
-		id := neighbour.record.ID
-		if neighbour == n.self || neighbour == e || id == from {
-			continue
-		}
-		if neighbour.contact || n.probes[id] != nil {
+	for _, id := range n.listeners() {
+		if id != from && id != e.record.ID {
 			n.queue(id, e.record.ID, e.young())
 		}
 	}
 }
 
+// listeners returns the hosts to which records spread: those that this host probes
+// and those in contact. A host that many others join by has many contacts; it
+// passes records to some and leaves the rest to these.
+func (n *Node) listeners() []host.ID {
+	ids := sortedIDs(n.contacts)
+	if len(ids) > maxListeners {
+		n.random.Shuffle(len(ids), func(i, j int) { ids[i], ids[j] = ids[j], ids[i] })
+		ids = ids[:maxListeners]
+	}
+	for _, id := range sortedIDs(n.probes) {
+		if !slices.Contains(ids, id) {
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
+
 // queue notes that a host may lack the newest record of a member.
 func (n *Node) queue(to, member host.ID, describe bool) {
 	if e := n.entries[to]; e == nil || e == n.self {
@@ -40,9 +54,20 @@
 		s = &spread{records: make(map[host.ID]bool)}
 		n.pending[to] = s
 	}
+	if len(s.records) == 0 {
+		wait := time.Duration(n.random.Int64N(int64(spreadInterval)))
+		s.notBefore = later(s.notBefore, n.lastStep.Add(wait))
+	}
 	s.records[member] = s.records[member] || describe
 }
 
+func later(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return b
+	}
+	return a
+}
+
 // takeRecords returns records for a message to the host. They stay queued until
 // the message has been answered.
 func (n *Node) takeRecords(now time.Time, to host.ID) []Record {
@@ -87,7 +112,7 @@
 	for _, id := range sortedIDs(n.pending) {
 		s := n.pending[id]
 		if len(s.records) == 0 || !n.canSpread(id, s) {
-			if !n.entries[id].contact && n.probes[id] == nil {
+			if !n.inContact(n.entries[id]) && n.probes[id] == nil {
 				delete(n.pending, id)
 			}
 			continue
@@ -96,7 +121,7 @@
 			continue
 		}
 		s.outstanding++
-		sends = append(sends, n.send(now, n.entries[id], true))
+		sends = append(sends, n.send(now, n.entries[id], false))
 	}
 	return sends
 }
@@ -104,7 +129,7 @@
 // canSpread reports whether records may be sent to the host.
 func (n *Node) canSpread(id host.ID, s *spread) bool {
 	e := n.entries[id]
-	return e.contact && e.described && s.outstanding == 0
+	return n.inContact(e) && e.described && s.outstanding == 0
 }
 
 // delivered removes the records of an answered message from the queue, unless
--- a/internal/membership/sync.go
+++ b/internal/membership/sync.go
@@ -37,7 +37,7 @@
 		e := n.entries[id]
 		message := n.message()
 		message.Sync, message.Digest = true, n.digest()
-		return append(sends, Send{To: Target{ID: id, Address: e.host.PeerAddress}, Message: message, spreads: true})
+		return append(sends, Send{To: Target{ID: id, Address: e.host.PeerAddress}, Message: message})
 	}
 	return sends
 }
--- a/internal/membership/timing.go
+++ b/internal/membership/timing.go
@@ -11,8 +11,18 @@
 	retryInterval = 200 * time.Millisecond
 	// contactWindow is how long a host vouches for another after hearing from it.
 	contactWindow = 1800 * time.Millisecond
-	// spreadInterval is the least time between two messages of records to one host.
+	// spreadInterval is the least time between two messages of records to one host,
+	// and the most that a record waits for others, so that hosts which learn it
+	// another way in the meantime are not told again.
 	spreadInterval = 50 * time.Millisecond
+	// joinedContactDelay is the time in which further contacts with members that are
+	// reached already are collected before they are published together.
+	joinedContactDelay = time.Second
+	// lostContactDelay is the time in which lost contacts are collected likewise.
+	lostContactDelay = 50 * time.Millisecond
+	// retargetDelay is the time in which changes of the live members are collected
+	// before the probe targets follow.
+	retargetDelay = 300 * time.Millisecond
 	// updateInterval is the least time between two computations of the view, which
 	// cost processor time in proportion to the fleet.
 	updateInterval = 20 * time.Millisecond
@@ -45,8 +55,13 @@
 	maxTargets = localRings + globalRings
 	// maxContacts bounds the contacts in a record.
 	maxContacts = 16
+	// maxListeners bounds the hosts to which one host passes a record.
+	maxListeners = 10
 	// maxOutstanding bounds unanswered exchanges with one host.
 	maxOutstanding = 8
 	// maxRecords bounds the records in one message, except in the answer to a sync.
 	maxRecords = 64
+	// isolatedHealAttempts is the number of addresses that a host whose view holds no
+	// other host tries at once.
+	isolatedHealAttempts = 3
 )
