Let hosts disagree in the histories, and test a ledger given twice

Cause: in the chaos histories all hosts shared one view, no upstream was cold, and the issue of a ticket was not in the model; nothing tested a handover whose answer stays lost.

--- a/internal/dispatch/cluster_test.go
+++ b/internal/dispatch/cluster_test.go
@@ -6,6 +6,7 @@
 	"encoding/gob"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/netip"
@@ -215,6 +216,23 @@
 	c.hidden = on
 }
 
+// skewView gives one host a view of its own, in which others may be dead or missing.
+func (c *cluster) skewView(id host.ID, r *rand.Rand) {
+	var view membership.View
+	for _, name := range []host.ID{"entry-0", "entry-1", "entry-2", "entry-3"} {
+		n := c.node(name)
+		if n == nil || (name != id && r.IntN(3) == 0) {
+			continue
+		}
+		state := membership.Live
+		if name != id && r.IntN(3) == 0 {
+			state = membership.Dead
+		}
+		view.Members = append(view.Members, membership.Member{Host: n.self, State: state})
+	}
+	c.node(id).dispatcher.SetMembers(view)
+}
+
 func (c *cluster) cut(a, b host.ID, on bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/dispatch/holder_test.go
+++ b/internal/dispatch/holder_test.go
@@ -131,3 +131,21 @@
 		t.Errorf("repeat after the handover: %s with %d bytes", outcomeOf(resp), len(got))
 	}
 }
+
+func TestLedgerThatMayExistTwiceRunsNothingAtItsSecondHolder(t *testing.T) {
+	for _, lossy := range []host.ID{"entry-1", "entry-2"} {
+		c := newCluster(t, clusterOptions{hosts: 3, upstreams: 1, slots: 3})
+		unused := freshTicket(t, c.node("entry-0"))
+		c.loseReplies(lossy, true)
+		if _, err := c.stop("entry-0"); err != nil {
+			t.Fatal(err)
+		}
+		c.loseReplies(lossy, false)
+		for _, id := range []host.ID{"entry-1", "entry-2", "entry-1"} {
+			post(t, c.node(id), unused, "unused")
+		}
+		if got := c.runs()["unused"]; got != 1 {
+			t.Errorf("%s loses replies: the request ran %d times", lossy, got)
+		}
+	}
+}
