Keep stored objects within a peer's message and wait longer for peers

Cause: a page of up to 1 MiB could be published but not relayed, because the peers' messages hold 1 MiB with their framing; and a host that learned of its peers after more than 500 ms joined by the platform alone. Change: objects may have 992 KiB, a head with pages 64 KiB, and a joining host waits up to 1 s to learn of peers. Conclusion: whatever is published can be relayed.

--- /dev/null
+++ b/internal/adopt/messages_test.go
@@ -0,0 +1,31 @@
+package adopt_test
+
+import (
+	"bytes"
+	"encoding/gob"
+	"strings"
+	"testing"
+
+	"github.com/oatlatch/oatlatch/internal/adopt"
+	"github.com/oatlatch/oatlatch/internal/config"
+)
+
+// TestLargestObjectFitsAMessage holds the size of stored objects to what the peers'
+// transport carries in one message by default.
+func TestLargestObjectFitsAMessage(t *testing.T) {
+	const messageBytes = 1 << 20
+	ref := config.PageRef{Bucket: config.Buckets - 1, Version: 1 << 62, Hash: strings.Repeat("f", 64)}
+	page := config.PageData{Ref: ref, Data: make([]byte, config.MaxObjectBytes)}
+	for name, reply := range map[string]any{
+		"page": adopt.FetchReply{Pages: []config.PageData{page}},
+		"head": adopt.PullReply{Version: 1 << 62, Head: make([]byte, config.MaxObjectBytes)},
+	} {
+		var encoded bytes.Buffer
+		if err := gob.NewEncoder(&encoded).Encode(reply); err != nil {
+			t.Fatal(err)
+		}
+		if encoded.Len() >= messageBytes {
+			t.Errorf("the largest %s takes %d bytes, more than the %d of a message", name, encoded.Len(), messageBytes)
+		}
+	}
+}
--- a/internal/adopt/peer_service.go
+++ b/internal/adopt/peer_service.go
@@ -8,7 +8,7 @@
 const (
 	// maxFetchBytes bounds a FetchReply unless a single page exceeds it.
 	maxFetchBytes = 512 << 10
-	// maxPullBytes bounds the pages that come along with a head.
+	// maxPullBytes bounds a head with the pages that come along.
 	maxPullBytes = 64 << 10
 	// maxFetchRefs bounds the pages that one call may ask for.
 	maxFetchRefs = config.Buckets
@@ -31,7 +31,7 @@
 	reply.ConfirmedAge = state.confirmedAge(s.runner.options.Now())
 	if reply.Version > args.Version {
 		reply.Head = state.bundle.HeadData
-		reply.Pages = state.bundle.PagesSince(args.Version, maxPullBytes)
+		reply.Pages = state.bundle.PagesSince(args.Version, maxPullBytes-len(reply.Head))
 	}
 	s.runner.metrics.sent(len(reply.Head))
 	for _, page := range reply.Pages {
--- a/internal/config/adopter.go
+++ b/internal/config/adopter.go
@@ -17,7 +17,7 @@
 	// roundWait bounds how long a joining host waits for answers of peers and platform.
 	roundWait = time.Second
 	// membersWait bounds how long a joining host waits to learn of peers.
-	membersWait = 500 * time.Millisecond
+	membersWait = time.Second
 	// platformPatience is how long a joining host without the duty to watch waits for
 	// a peer to hold what the platform has, before it reads all pages there.
 	platformPatience = 3 * time.Second
--- a/internal/config/errors.go
+++ b/internal/config/errors.go
@@ -37,8 +37,9 @@
 	return fmt.Sprintf("%s %s is used by services %q and %q: give one of them another", e.What, e.Value, e.First, e.Second)
 }
 
-// MaxObjectBytes is the largest stored object.
-const MaxObjectBytes = 1 << 20
+// MaxObjectBytes is the largest stored object. It leaves room for the framing of a
+// message to a peer, which may have 1 MiB like the platform's values.
+const MaxObjectBytes = 1<<20 - 32<<10
 
 // TooLargeError says that an object exceeds what the platform holds.
 type TooLargeError struct {
@@ -50,5 +51,5 @@
 
 // Error names the object and the remedy.
 func (e *TooLargeError) Error() string {
-	return fmt.Sprintf("configuration object %s has %d bytes, more than the platform's %d: split service %q, the largest in it", e.Object, e.Bytes, MaxObjectBytes, e.Largest)
+	return fmt.Sprintf("configuration object %s has %d bytes, more than %d: split service %q, the largest in it", e.Object, e.Bytes, MaxObjectBytes, e.Largest)
 }
