Ask for a certificate on admin pages beyond loopback

Cause: status and explain tell the whole deployment; plain HTTP beyond loopback shows it to anyone who reaches the port. Change: settings refuse a plain admin address beyond loopback; with keys the pages are served over mutual TLS. Operators' certificates are refused between hosts.

--- a/cmd/oatlatch/admin_get.go
+++ b/cmd/oatlatch/admin_get.go
@@ -8,6 +8,8 @@
 	"net/url"
 	"strings"
 	"time"
+
+	"github.com/oatlatch/oatlatch/internal/peer"
 )
 
 const (
@@ -15,8 +17,27 @@
 	maxAdminBytes = 64 << 20
 )
 
-// adminGet reads one page of a host's admin address.
-func adminGet(ctx context.Context, base, path string, query url.Values) ([]byte, error) {
+// adminFlags hold an operator's keys for admin addresses beyond loopback.
+type adminFlags struct {
+	CA          string `name:"ca" placeholder:"PEM" help:"Certificate authority of the hosts, PEM text or path, for https addresses."`
+	Certificate string `placeholder:"PEM" help:"Operator's certificate, PEM text or path, with the URI oatlatch://operators/NAME."`
+	Key         string `placeholder:"PEM" help:"Private key of the certificate, PEM text or path."`
+}
+
+// client returns an HTTP client with the operator's keys, if there are any.
+func (f *adminFlags) client() (*http.Client, error) {
+	if f.CA == "" && f.Certificate == "" && f.Key == "" {
+		return http.DefaultClient, nil
+	}
+	keys, err := peer.LoadTLS(peer.TLSFiles{CA: f.CA, Certificate: f.Certificate, Key: f.Key})
+	if err != nil {
+		return nil, err
+	}
+	return &http.Client{Transport: &http.Transport{TLSClientConfig: keys.ReaderConfig()}}, nil
+}
+
+// get reads one page of a host's admin address.
+func (f *adminFlags) get(ctx context.Context, base, path string, query url.Values) ([]byte, error) {
 	ctx, cancel := context.WithTimeout(ctx, adminTimeout)
 	defer cancel()
 	target := strings.TrimSuffix(base, "/") + path
@@ -27,7 +48,11 @@
 	if err != nil {
 		return nil, fmt.Errorf("the address cannot be used, write http://IP:port: %w", err)
 	}
-	response, err := http.DefaultClient.Do(request)
+	client, err := f.client()
+	if err != nil {
+		return nil, err
+	}
+	response, err := client.Do(request)
 	if err != nil {
 		return nil, err
 	}
--- a/cmd/oatlatch/status.go
+++ b/cmd/oatlatch/status.go
@@ -15,15 +15,16 @@
 
 // statusCommand shows the state of hosts.
 type statusCommand struct {
-	Admin []string `default:"http://127.0.0.1:7402" help:"Base URLs of the hosts' admin addresses."`
-	JSON  bool     `help:"Print the whole status as JSON."`
+	Admin      []string `default:"http://127.0.0.1:7402" help:"Base URLs of the hosts' admin addresses."`
+	adminFlags `embed:""`
+	JSON       bool `help:"Print the whole status as JSON."`
 }
 
 // Run prints one block for each host.
 func (c *statusCommand) Run(ctx context.Context) error {
 	failed := false
 	for _, base := range c.Admin {
-		data, err := adminGet(ctx, base, "/status", nil)
+		data, err := c.get(ctx, base, "/status", nil)
 		if err != nil {
 			fmt.Fprintf(os.Stderr, "%s: %v\n", base, err)
 			failed = true
--- a/internal/daemon/build.go
+++ b/internal/daemon/build.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"fmt"
 	"net"
 	"net/netip"
@@ -175,6 +176,14 @@
 	})
 }
 
+// adminListener asks operators for a certificate unless they are on this machine.
+func (d *Daemon) adminListener() net.Listener {
+	if d.keys == nil || boundAddress(d.admin).Addr().IsLoopback() {
+		return d.admin
+	}
+	return tls.NewListener(d.admin, d.keys.AdminConfig())
+}
+
 func listen(key string, address netip.AddrPort) (net.Listener, error) {
 	listener, err := net.Listen("tcp", address.String())
 	if err != nil {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -111,7 +111,7 @@
 		group.Go(func() error { return duty(ctx) })
 	}
 	serveHTTP(group, ctx, d.callers, d.requests)
-	serveHTTP(group, ctx, d.operators, d.admin)
+	serveHTTP(group, ctx, d.operators, d.adminListener())
 }
 
 // onMembers passes a membership view to the duties that use it.
--- a/internal/peer/connection.go
+++ b/internal/peer/connection.go
@@ -52,6 +52,9 @@
 		if err != nil {
 			return nil, "", err
 		}
+		if identity.DataCentre == OperatorsDataCentre {
+			return nil, "", &Error{Kind: WrongIdentity, Peer: identity.Host, Err: errOperator}
+		}
 		authenticated, conn = identity.Host, secured
 	}
 	from, err := acceptGreeting(conn, s.options.Self, authenticated)
--- a/internal/peer/keys_test.go
+++ b/internal/peer/keys_test.go
@@ -43,13 +43,17 @@
 
 // files returns keys of the host that are valid for the given time from now.
 func (a *testAuthority) files(id host.ID, validity time.Duration) TLSFiles {
+	return a.filesAs(Identity{Host: id, DataCentre: "akl-a"}, validity)
+}
+
+func (a *testAuthority) filesAs(identity Identity, validity time.Duration) TLSFiles {
 	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
 	Expect(err).NotTo(HaveOccurred())
 	template := &x509.Certificate{
 		SerialNumber: big.NewInt(time.Now().UnixNano()),
 		NotBefore:    time.Now().Add(-2 * time.Hour),
 		NotAfter:     time.Now().Add(validity),
-		URIs:         []*url.URL{Identity{Host: id, DataCentre: "akl-a"}.URI()},
+		URIs:         []*url.URL{identity.URI()},
 		KeyUsage:     x509.KeyUsageDigitalSignature,
 		ExtKeyUsage:  []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth},
 	}
@@ -70,3 +74,10 @@
 	Expect(err).NotTo(HaveOccurred())
 	return loaded
 }
+
+// loadAs returns valid keys of an identity outside the test's data centre.
+func (a *testAuthority) loadAs(dataCentre string, id host.ID) *TLS {
+	loaded, err := LoadTLS(a.filesAs(Identity{Host: id, DataCentre: dataCentre}, time.Hour))
+	Expect(err).NotTo(HaveOccurred())
+	return loaded
+}
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -84,6 +84,8 @@
 		c.report("tls", "", "only some of ca, certificate and key are given", "give all three, or none on loopback")
 	case !s.Listen.Peer.Addr().IsLoopback():
 		c.report("tls", "", "plain peer connections are taken on loopback only", "give ca, certificate and key")
+	case !s.Listen.Admin.Addr().IsLoopback():
+		c.report("tls", "", "plain admin pages are served on loopback only", "give ca, certificate and key, or a loopback listen.admin")
 	}
 }
 
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -35,7 +35,7 @@
 	Peer    netip.AddrPort `name:"peer" default:"127.0.0.1:7401" help:"IP:port for calls of other entry hosts (TCP)."`
 	Packet  netip.AddrPort `name:"packet" default:"127.0.0.1:6081" help:"IP:port for packets of the fabric and of other entry hosts (UDP, Geneve)."`
 	Request netip.AddrPort `name:"request" default:"127.0.0.1:8080" help:"IP:port for requests of callers (TCP, HTTP)."`
-	Admin   netip.AddrPort `name:"admin" default:"127.0.0.1:7402" help:"IP:port for read-only status and metrics (TCP, HTTP)."`
+	Admin   netip.AddrPort `name:"admin" default:"127.0.0.1:7402" help:"IP:port for read-only status and metrics (TCP, HTTP; mutual TLS beyond loopback)."`
 }
 
 // Peers holds where to find other entry hosts.
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -60,6 +60,7 @@
 		{"bad address", host + "[listen]\npeer = here\n", "listen-peer"},
 		{"address for all interfaces", host + "[listen]\nrequest = 0.0.0.0:80\n", "listen.request"},
 		{"plain beyond loopback", host + "[listen]\npeer = 10.0.0.1:7401\n", "settings:tls: plain peer connections"},
+		{"plain admin beyond loopback", host + "[listen]\nadmin = 10.0.0.1:7402\n", "settings:tls: plain admin pages"},
 		{"half of TLS", host + "[tls]\nca = ca.pem\n", "settings:tls: only some"},
 		{"no workers", host + "[limits]\nworkers = 0\n", "limits.workers"},
 		{"zero calls", host + "[platform]\ncalls_per_second = 0\n", "platform.calls_per_second"},
