Write the adopted configuration back to a platform that lost it

Cause: after a restore or a loss of the platform's data, an operator had to publish above the adopted version; that assigned service IDs, the VNIs that upstreams are set up with, and the flow key anew, and a publication without it was told as landed while no host took it. Conclusion: restores no longer need a hand, except when published to at once.

--- a/internal/adopt/duties.go
+++ b/internal/adopt/duties.go
@@ -23,7 +23,7 @@
 		r.report(ctx, config.PlatformFailed{Err: err})
 		return
 	}
-	r.report(ctx, config.PlatformRead{Head: value.Data, Index: value.Index})
+	r.report(ctx, config.PlatformRead{Head: value.Data, Revision: value.Revision, Index: value.Index})
 }
 
 // call makes one call to a peer within the deadline.
--- a/internal/adopt/log.go
+++ b/internal/adopt/log.go
@@ -40,9 +40,9 @@
 
 // remedies tell operators what to do about a refused configuration.
 var remedies = map[config.RefuseReason]string{
-	config.RefuseStale:    "check whether the platform was restored from a backup; if so publish again with --above set to the adopted version",
-	config.RefuseAbsent:   "check whether the platform lost its data; if so publish again with --above set to the adopted version",
-	config.RefuseDiverged: "two histories share this version; publish again with --above set to it",
+	config.RefuseStale:    "none if it ends within a minute, as hosts write the adopted version back; otherwise check why the platform answers stale",
+	config.RefuseAbsent:   "none if it ends within a minute, as hosts write the adopted version back; otherwise check who deletes it",
+	config.RefuseDiverged: "the platform was restored and then published to; delete its key oatlatch/head, wait for config_restored, then publish again, with --above if hosts differ",
 	config.RefuseInvalid:  "publish again from the service files",
 	config.RefuseFormat:   "run the program version that published",
 }
--- a/internal/adopt/metrics.go
+++ b/internal/adopt/metrics.go
@@ -9,6 +9,7 @@
 	version   prometheus.Gauge
 	adopted   *prometheus.CounterVec
 	refused   *prometheus.CounterVec
+	restores  *prometheus.CounterVec
 	calls     *prometheus.CounterVec
 	sentBytes prometheus.Counter
 	dropped   prometheus.Counter
@@ -29,6 +30,10 @@
 			Name: "oatlatch_config_refused_total",
 			Help: "Configurations refused, by reason.",
 		}, []string{"reason"}),
+		restores: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "oatlatch_config_restores_total",
+			Help: "Attempts to write the adopted configuration back to a platform that lost it, by outcome.",
+		}, []string{"outcome"}),
 		calls: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "oatlatch_config_peer_calls_total",
 			Help: "Calls to peers, by call and outcome.",
@@ -47,7 +52,7 @@
 		}),
 	}
 	if registerer != nil {
-		registerer.MustRegister(m.version, m.adopted, m.refused, m.calls, m.sentBytes, m.dropped, m.watching)
+		registerer.MustRegister(m.version, m.adopted, m.refused, m.restores, m.calls, m.sentBytes, m.dropped, m.watching)
 	}
 	return m
 }
--- a/internal/adopt/runner.go
+++ b/internal/adopt/runner.go
@@ -40,6 +40,7 @@
 	fetches  chan config.Fetch
 	notices  chan config.Notify
 	confirms chan config.Confirm
+	restores chan config.Restore
 
 	// reasonLogged is when the lack of a configuration was last logged.
 	reasonLogged time.Time
@@ -64,6 +65,7 @@
 		fetches:  make(chan config.Fetch, fetchCapacity),
 		notices:  make(chan config.Notify, notifyCapacity),
 		confirms: make(chan config.Confirm, 1),
+		restores: make(chan config.Restore, 1),
 	}
 	r.state.Store(&state{status: config.Status{Reason: "not started", ConfirmedAge: -1}, at: options.Now()})
 	return r
@@ -78,6 +80,7 @@
 	joined.Go(func() { serve(ctx, r.reads, r.readPlatform) })
 	joined.Go(func() { serve(ctx, r.fetches, r.fetch) })
 	joined.Go(func() { serve(ctx, r.confirms, r.confirm) })
+	joined.Go(func() { serve(ctx, r.restores, r.restore) })
 	for range pullers {
 		joined.Go(func() { serve(ctx, r.pulls, r.pull) })
 	}
@@ -164,6 +167,10 @@
 		if !offer(r.confirms, a) {
 			return config.ConfirmFailed{Err: errQueueFull}
 		}
+	case config.Restore:
+		if !offer(r.restores, a) {
+			return config.RestoreFailed{Err: errQueueFull}
+		}
 	case config.Notify:
 		if !offer(r.notices, a) {
 			r.metrics.dropped.Inc()
--- a/internal/adopt/runner_test.go
+++ b/internal/adopt/runner_test.go
@@ -81,3 +81,19 @@
 
 // joiningBackoffCap bounds the time between platform reads of a joining host.
 const joiningBackoffCap = 4 * time.Second
+
+func TestEmptiedPlatformGetsTheConfigurationBack(t *testing.T) {
+	g := gomega.NewWithT(t)
+	store, f := fake.NewStore(), newFleet()
+	version := publish(t, store, 1, svc("a", 1, 1), svc("b", 2, 1))
+	for i := range 5 {
+		n := f.start(t, i, 1, fake.NewPort(store))
+		g.Eventually(n.version, inForce).Should(gomega.Equal(version))
+	}
+	head := store.Get(config.HeadKey).Data
+	store.Restore(fake.NewStore())
+	g.Eventually(func() []byte { return store.Get(config.HeadKey).Data }, 15*time.Second).Should(gomega.Equal(head))
+	if pages := store.List(config.PagePrefix); len(pages) != 2 {
+		t.Fatalf("%d pages were written back", len(pages))
+	}
+}
--- a/internal/config/adopter.go
+++ b/internal/config/adopter.go
@@ -71,6 +71,7 @@
 	candidate *candidate
 	watch     watch
 	confirm   confirm
+	restore   restore
 	pulls     pulling
 	// confirmedAt is when somebody was last known to have read the platform.
 	confirmedAt time.Time
@@ -124,6 +125,10 @@
 		a.scheduleConfirm()
 	case ConfirmFailed:
 		a.confirmFailed()
+	case Restored:
+		a.restored()
+	case RestoreFailed:
+		a.restoreFailed()
 	}
 	a.runTimers()
 	return a.take()
--- a/internal/config/adopter_actions.go
+++ b/internal/config/adopter_actions.go
@@ -44,6 +44,13 @@
 // Confirm asks to store that this host has adopted the version.
 type Confirm struct{ Version Version }
 
+// Restore asks to write the bundle to the platform if its head still has the
+// revision; zero stands for no head.
+type Restore struct {
+	Bundle   *Bundle
+	Revision uint64
+}
+
 // Adopt reports a configuration that is in force from now on.
 type Adopt struct {
 	Bundle *Bundle
@@ -63,11 +70,12 @@
 
 // Reasons to refuse a configuration.
 const (
-	// RefuseStale: the platform answered with a lower version than the adopted one.
+	// RefuseStale: the platform answered with an earlier version of the adopted one.
 	RefuseStale RefuseReason = "stale"
 	// RefuseAbsent: the platform holds no configuration although one is adopted.
 	RefuseAbsent RefuseReason = "absent"
-	// RefuseDiverged: the version is the adopted one but the contents differ.
+	// RefuseDiverged: the version is not higher than the adopted one, and the contents
+	// are of another history.
 	RefuseDiverged RefuseReason = "diverged"
 	// RefuseInvalid: the contents are damaged or inconsistent.
 	RefuseInvalid RefuseReason = "invalid"
@@ -82,3 +90,4 @@
 func (Confirm) action()      {}
 func (Adopt) action()        {}
 func (Refuse) action()       {}
+func (Restore) action()      {}
--- a/internal/config/adopter_events.go
+++ b/internal/config/adopter_events.go
@@ -19,8 +19,9 @@
 // PlatformRead answers a ReadPlatform with the head as it is stored.
 type PlatformRead struct {
 	// Head is empty when nothing has been published.
-	Head  []byte
-	Index uint64
+	Head     []byte
+	Revision uint64
+	Index    uint64
 }
 
 // PlatformFailed answers a ReadPlatform that failed.
@@ -69,6 +70,12 @@
 // ConfirmFailed answers a Confirm that failed.
 type ConfirmFailed struct{ Err error }
 
+// Restored answers a Restore.
+type Restored struct{}
+
+// RestoreFailed answers a Restore that failed or found the platform changed.
+type RestoreFailed struct{ Err error }
+
 func (TimerFired) event()     {}
 func (MembersChanged) event() {}
 func (PlatformRead) event()   {}
@@ -80,3 +87,5 @@
 func (FetchFailed) event()    {}
 func (Confirmed) event()      {}
 func (ConfirmFailed) event()  {}
+func (Restored) event()       {}
+func (RestoreFailed) event()  {}
--- a/internal/config/adopter_platform.go
+++ b/internal/config/adopter_platform.go
@@ -57,14 +57,27 @@
 		a.round.platformErr = nil
 		a.round.empty = len(e.Head) == 0
 	}
-	if len(e.Head) > 0 {
-		a.offered(e.Head, Platform)
-	} else if a.bundle != nil {
-		a.do(Refuse{Reason: RefuseAbsent, Source: Platform})
-	}
+	a.readFromPlatform(e)
 	a.roundAnswered(Platform)
 }
 
+// readFromPlatform decides about the head that the platform holds.
+func (a *Adopter) readFromPlatform(e PlatformRead) {
+	if len(e.Head) == 0 {
+		if a.bundle != nil {
+			a.platformBehind(Head{}, 0)
+		}
+		return
+	}
+	head, err := DecodeHead(e.Head)
+	if err == nil && a.bundle != nil && head.Version < a.bundle.Version() {
+		a.platformBehind(head, e.Revision)
+		return
+	}
+	a.restore.at = time.Time{}
+	a.offered(e.Head, Platform)
+}
+
 func (a *Adopter) platformFailed(e PlatformFailed) {
 	a.watch.outstanding = false
 	a.watch.index = 0
@@ -96,9 +109,7 @@
 	case head.Version > a.bundle.Version():
 		a.startCandidate(o)
 	case head.Version < a.bundle.Version():
-		if source == Platform {
-			a.do(Refuse{Reason: RefuseStale, Source: source, Version: head.Version})
-		}
+		// A peer that is behind is told so by a notice.
 	case HashOf(data) != a.bundle.HeadHash:
 		a.do(Refuse{Reason: RefuseDiverged, Source: source, Version: head.Version})
 	}
--- a/internal/config/adopter_timers.go
+++ b/internal/config/adopter_timers.go
@@ -7,6 +7,7 @@
 	a.pullTimer()
 	a.watchTimer()
 	a.confirmTimer()
+	a.restoreTimer()
 }
 
 // NextWake returns when the driver has to report TimerFired at the latest.
@@ -25,6 +26,9 @@
 	if !a.confirm.at.IsZero() && !a.confirm.outstanding {
 		next = earlier(next, a.confirm.at)
 	}
+	if !a.restore.at.IsZero() {
+		next = earlier(next, a.restore.at)
+	}
 	return next
 }
 
--- a/internal/config/sim_converge_test.go
+++ b/internal/config/sim_converge_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/oatlatch/oatlatch/internal/config"
+	"github.com/oatlatch/oatlatch/internal/platform/fake"
 )
 
 var errUnreachable = errors.New("unreachable")
@@ -108,6 +109,65 @@
 	}
 }
 
+func TestPlatformThatLostTheConfigurationGetsItBack(t *testing.T) {
+	for name, backup := range map[string]func(*sim) *fake.Store{
+		"emptied":  func(*sim) *fake.Store { return fake.NewStore() },
+		"restored": func(s *sim) *fake.Store { return s.store.Copy() },
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newFleet(t, 6, 50, 7)
+			old := backup(s)
+			var version config.Version
+			for number := range 2 * config.MaxPublications {
+				version = s.publish(svc(10+number, 1, 1))
+				s.run(time.Second)
+			}
+			s.run(inForce)
+			s.expect(t, version, "before the loss")
+			before := readState(s.store).Bundle
+			s.store.Restore(old)
+			s.wakeWatches()
+			s.run(time.Minute)
+			after := readState(s.store).Bundle
+			if after == nil || after.HeadHash != before.HeadHash {
+				t.Fatalf("the platform holds version %d instead of %d", after.Version(), version)
+			}
+			version = s.publish(svc(1, 3, 7))
+			s.run(inForce)
+			s.expect(t, version, "after the loss")
+		})
+	}
+}
+
+func TestPublicationOnARestoredPlatformIsNotOverwritten(t *testing.T) {
+	s := newFleet(t, 6, 10, 3)
+	old := s.store.Copy()
+	for weight := range 3 {
+		s.publish(svc(1, 3, weight+2))
+		s.run(inForce)
+	}
+	adopted := s.hosts[0].adopter.Bundle().Version()
+	s.store.Restore(old)
+	fork := s.publish(svc(2, 3, 9))
+	s.run(time.Minute)
+	s.expect(t, adopted, "while the histories differ")
+	if got := readState(s.store).Bundle.Version(); got != fork {
+		t.Fatalf("version %d was overwritten by %d", fork, got)
+	}
+	if s.hosts[0].refused[config.RefuseDiverged] == 0 {
+		t.Fatal("the other history was not reported")
+	}
+	s.store.Delete(config.HeadKey, s.store.Get(config.HeadKey).Revision)
+	s.wakeWatches()
+	s.run(time.Minute)
+	version := s.publish(svc(2, 3, 10))
+	if version != adopted+1 {
+		t.Fatalf("published version %d after %d was to be written back", version, adopted)
+	}
+	s.run(inForce)
+	s.expect(t, version, "after the remedy")
+}
+
 func TestWatchersCutOffAreReplaced(t *testing.T) {
 	t.Parallel()
 	s := newFleet(t, 1, 140, 7)
--- a/internal/config/sim_test.go
+++ b/internal/config/sim_test.go
@@ -190,6 +190,8 @@
 			h.notify(a)
 		case config.Confirm:
 			h.confirm(a)
+		case config.Restore:
+			h.restore(a)
 		case config.Adopt:
 			h.recordAdoption(a.Bundle.Version())
 		case config.Refuse:
@@ -240,7 +242,7 @@
 	}
 	value := h.reads().Get(config.HeadKey)
 	if a.Index == 0 || value.Index != a.Index {
-		h.sim.after(2*h.sim.latency(), h.deliver(config.PlatformRead{Head: value.Data, Index: value.Index}))
+		h.sim.after(2*h.sim.latency(), h.deliver(config.PlatformRead{Head: value.Data, Revision: value.Revision, Index: value.Index}))
 		return
 	}
 	h.wait(a.Index)
@@ -261,7 +263,7 @@
 			return
 		}
 		value := h.reads().Get(config.HeadKey)
-		h.step(config.PlatformRead{Head: value.Data, Index: value.Index})
+		h.step(config.PlatformRead{Head: value.Data, Revision: value.Revision, Index: value.Index})
 	}
 	h.waiting = answer
 	h.sim.after(watchWait, answer)
@@ -393,6 +395,24 @@
 	h.sim.after(2*oneWay, h.deliver(config.Confirmed(a)))
 }
 
+func (h *simHost) restore(a config.Restore) {
+	h.count()
+	store := h.sim.store
+	if h.cut || store.Get(config.HeadKey).Revision != a.Revision {
+		h.sim.after(2*oneWay, h.deliver(config.RestoreFailed{Err: errUnreachable}))
+		return
+	}
+	for _, ref := range a.Bundle.Head.Pages {
+		page, _ := a.Bundle.Page(ref)
+		h.count()
+		store.CompareAndSwap(ref.Key(), page.Data, 0)
+	}
+	h.count()
+	store.CompareAndSwap(config.HeadKey, a.Bundle.HeadData, a.Revision)
+	h.sim.after(2*oneWay, h.deliver(config.Restored{}))
+	h.sim.wakeWatches()
+}
+
 // publish publishes the services at once and returns the version.
 func (s *sim) publish(services ...service.Service) config.Version {
 	s.published++
--- a/internal/platform/fake/store.go
+++ b/internal/platform/fake/store.go
@@ -138,6 +138,7 @@
 	backup := from.Copy()
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.index++
 	s.values, s.hosts = backup.values, backup.hosts
 	s.wake()
 }
