--- a/internal/membership/handle.go
+++ b/internal/membership/handle.go
@@ -48,8 +48,9 @@
 		return
 	}
 	n.delivered(from, send.Message.Records)
-	if send.To.ID == "" {
+	if send.Message.Introduce {
 		n.probeSoon(now, e)
+		n.syncSoon(now, from, answer.Summary)
 	}
 	if answer.WantSender {
 		n.queue(from, n.self.record.ID, true)
--- a/internal/membership/heal.go
+++ b/internal/membership/heal.go
@@ -21,7 +21,7 @@
 	message := n.message()
 	message.Probe = true
 	message.Records = []Record{n.self.export(true)}
-	message.Introduce, message.Sync, message.Digest = true, true, n.digest()
+	message.Introduce = true
 	for range min(attempts, len(candidates)) {
 		address := candidates[n.healTurn%len(candidates)]
 		n.healTurn++
--- a/internal/membership/node.go
+++ b/internal/membership/node.go
@@ -59,10 +59,11 @@
 	lastStep time.Time
 	nextHeal time.Time
 	// healTurn counts the attempts to reach hosts out of the view.
-	healTurn  int
-	nextSync  time.Time
-	startedAt time.Time
-	hints     []Hint
+	healTurn   int
+	nextForget time.Time
+	nextSync   time.Time
+	startedAt  time.Time
+	hints      []Hint
 	// leavingSince is when the platform was first seen to list a host as leaving.
 	leavingSince map[host.ID]time.Time
 }
@@ -202,14 +203,21 @@
 	}
 }
 
-// expire ends contacts with hosts that have been silent and forgets hosts that
-// have long been dead.
+// expire ends contacts with hosts that have been silent.
 func (n *Node) expire(now time.Time) {
 	for _, e := range n.contacts {
 		if now.Sub(e.heardAt) >= contactWindow {
 			n.endContact(e)
 		}
 	}
+	if !now.Before(n.nextForget) {
+		n.nextForget = now.Add(forgetInterval)
+		n.forget(now)
+	}
+}
+
+// forget removes hosts that have long been dead.
+func (n *Node) forget(now time.Time) {
 	var forgotten []*entry
 	for _, e := range n.order {
 		if !e.reached && !e.lostAt.IsZero() && now.Sub(e.lostAt) >= deadRetention {
--- a/internal/membership/node_test.go
+++ b/internal/membership/node_test.go
@@ -56,6 +56,7 @@
 }
 
 func TestCrashedHostIsOutWithinThreeSeconds(t *testing.T) {
+	t.Parallel()
 	for _, size := range []int{2, 3, 5, 8, 50, 150, 430} {
 		for seed := range uint64(min(20, (430+size/2)/size)) {
 			f := newWarmFleet(seed, size, min(7, size))
@@ -68,6 +69,7 @@
 }
 
 func TestCrashUnderLossIsOutWithinThreeSeconds(t *testing.T) {
+	t.Parallel()
 	for _, size := range []int{3, 5, 8, 50} {
 		for seed := range uint64(10) {
 			f := newWarmFleet(seed, size, min(4, size))
@@ -80,6 +82,7 @@
 }
 
 func TestNoFlappingUnderLoss(t *testing.T) {
+	t.Parallel()
 	for _, test := range []struct{ size, seeds int }{{2, 60}, {3, 40}, {4, 40}, {5, 40}, {8, 20}, {50, 3}, {150, 1}} {
 		t.Run(fmt.Sprint(test.size), func(t *testing.T) {
 			for seed := range uint64(test.seeds) {
@@ -104,6 +107,7 @@
 }
 
 func TestCutOffDataCentreGoesOnAloneAndMerges(t *testing.T) {
+	t.Parallel()
 	for _, size := range []int{4, 5, 50, 150} {
 		for seed := range uint64(1 + 150/size/3) {
 			f := newWarmFleet(seed, size, min(7, size-1))
@@ -132,6 +136,7 @@
 }
 
 func TestCrashOfADataCentreLeavesTheRestWhole(t *testing.T) {
+	t.Parallel()
 	f := newWarmFleet(1, 150, 7)
 	crashed, rest := splitBy(f.hosts, "dc-3")
 	for _, h := range crashed {
@@ -250,6 +255,7 @@
 }
 
 func TestMessagesDoNotGrowWithTheFleet(t *testing.T) {
+	t.Parallel()
 	const seconds = 10
 	for _, size := range []int{50, 150, 430} {
 		f := newWarmFleet(1, size, 7)
--- a/internal/membership/stateful_test.go
+++ b/internal/membership/stateful_test.go
@@ -169,6 +169,7 @@
 }
 
 func TestViewsUnderRandomFaults(t *testing.T) {
+	t.Parallel()
 	rapid.Check(t, func(t *rapid.T) {
 		m := newMachine(t)
 		t.Repeat(rapid.StateMachineActions(m))
--- a/internal/membership/sync.go
+++ b/internal/membership/sync.go
@@ -22,6 +22,15 @@
 	}
 }
 
+// syncSoon asks a host that was out of the view for the records that differ.
+func (n *Node) syncSoon(now time.Time, from host.ID, summary uint32) {
+	p := n.probes[from]
+	if p != nil && summary != n.summary {
+		p.differSince = now.Add(-syncDelay)
+		n.nextSync = now
+	}
+}
+
 // sendSync appends one comparison with a host that differs.
 func (n *Node) sendSync(now time.Time, sends []Send) []Send {
 	if now.Before(n.nextSync) {
--- a/internal/membership/timing.go
+++ b/internal/membership/timing.go
@@ -40,6 +40,8 @@
 	syncInterval = 5 * time.Second
 	// deadRetention is how long a dead host is listed and tried.
 	deadRetention = time.Hour
+	// forgetInterval is the time between searches for hosts to forget.
+	forgetInterval = 10 * time.Second
 	// pauseThreshold is the gap between steps from which the process itself is
 	// taken to have been paused.
 	pauseThreshold = time.Second
