Believe load reports that are within 12% of own counts

Own counts of a young upstream hold more flows that have ended, so honest reports looked 4 to 12% wrong and were "corrected" away from the truth.

Change: the tolerated bias is 12% instead of 5%, the damping of changes in rate 1.5 instead of 2.

Conclusion: the tolerance bounds what a lying upstream can draw to itself; below it, noise in own counts does more harm than a small lie.

--- a/internal/flow/estimate.go
+++ b/internal/flow/estimate.go
@@ -15,12 +15,12 @@
 	reportTrust = 0.15
 	// toleratedBias is the long-run difference between reports and own counts
 	// below which reports are taken as they are.
-	toleratedBias = 0.05
+	toleratedBias = 0.12
 	// calibrationSamples is the number of sweeps that a calibration remembers.
 	calibrationSamples = 30
 	// damping makes a change of rate count for more than it is, since every owner
 	// reacts to the same reports.
-	damping = 2
+	damping = 1.5
 	// fastLife is how many seconds an assignment takes to show in load reports.
 	fastLife = 5.0
 	// slowLife is how many seconds tell the usual rate of assignments.
