Ask for loans more often, and wait for late calls safely

Cause: after denied loans the pause grew to 160 ms; the calls that outlive their request were counted by a sync.WaitGroup, which may panic when a late handler adds one while Run waits. Change: the pause ends at 40 ms; a counter of its own. Conclusion: 40 ms kept.

--- a/internal/dispatch/borrow.go
+++ b/internal/dispatch/borrow.go
@@ -15,7 +15,7 @@
 	lendersAsked = 2
 	// firstLendPause and lastLendPause bound the wait between rounds.
 	firstLendPause = 10 * time.Millisecond
-	lastLendPause  = 160 * time.Millisecond
+	lastLendPause  = 40 * time.Millisecond
 )
 
 // acquire waits for a slot of this host or of another one that lends it.
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -52,24 +52,25 @@
 	begun    map[host.Incarnation]time.Time
 	draining bool
 
-	loans loanBook
-	// background counts the calls that outlive their request.
-	background sync.WaitGroup
+	loans      loanBook
+	background *background
 }
 
 // New returns a dispatcher that refuses requests until it adopts a configuration.
 func New(options Options) *Dispatcher {
 	limits := options.Limits.withDefaults()
 	d := &Dispatcher{
-		options:  options,
-		limits:   limits,
-		metrics:  newMetrics(options.Registerer),
-		sender:   newExchanger(limits, options.Now),
-		states:   make(map[upstreamKey]health.Upstream),
-		viewed:   make(chan struct{}),
-		books:    make(map[host.Incarnation]*book),
-		incoming: make(map[host.Incarnation]*ticket.Transfer),
-		begun:    make(map[host.Incarnation]time.Time),
+		options: options,
+		limits:  limits,
+		metrics: newMetrics(options.Registerer),
+		sender:  newExchanger(limits, options.Now),
+		states:  make(map[upstreamKey]health.Upstream),
+		viewed:  make(chan struct{}),
+
+		background: newBackground(),
+		books:      make(map[host.Incarnation]*book),
+		incoming:   make(map[host.Incarnation]*ticket.Transfer),
+		begun:      make(map[host.Incarnation]time.Time),
 	}
 	d.sawView = sync.OnceFunc(func() { close(d.viewed) })
 	d.group = sharing(options.Self.ID, membership.View{})
