End most flows of the demo after some seconds

Cause: all flows stayed open and opening stopped at a cap, so that the demo never reached a steady state: an upstream taken back got no flows. Change: four of five flows end after 5 s, the others stay; opening goes on to the end. The imbalance counts open flows.

--- a/internal/demo/flows.go
+++ b/internal/demo/flows.go
@@ -26,8 +26,11 @@
 	mu      sync.Mutex
 	opening []flowID
 	flows   []flowID
-	sent    uint64
-	err     error
+	// ends has when each short flow ends; the others stay open.
+	ends   map[flowID]time.Time
+	opened int
+	sent   uint64
+	err    error
 }
 
 // run opens flows to the services in turn until ctx ends.
@@ -41,8 +44,7 @@
 func (l *flowLoad) open(ctx context.Context, services []service.Service) {
 	ticker := time.NewTicker(time.Second / 20)
 	defer ticker.Stop()
-	limit := maxFlowsOfService * len(services)
-	for number := 0; number < limit; {
+	for number := 0; ; {
 		select {
 		case <-ctx.Done():
 			return
@@ -50,15 +52,19 @@
 		}
 		for range flowsPerSecond / 20 * len(services) {
 			s := services[number%len(services)]
-			l.openOne(flowID{source: callerAddress(number), destination: s.Address})
+			l.openOne(flowID{source: callerAddress(number), destination: s.Address}, number/len(services)%longFlowStride == 0)
 			number++
 		}
 	}
 }
 
-func (l *flowLoad) openOne(f flowID) {
+func (l *flowLoad) openOne(f flowID, long bool) {
 	l.mu.Lock()
+	l.opened++
 	l.opening = append(l.opening, f)
+	if !long {
+		l.ends[f] = time.Now().Add(shortFlowLife)
+	}
 	l.mu.Unlock()
 	l.send(f, fabric.First)
 }
@@ -100,6 +106,7 @@
 		}
 		if round == 0 {
 			l.confirm()
+			l.closeEnded()
 		}
 		flows := l.snapshot()
 		for i := round; i < len(flows); i += rounds {
@@ -108,6 +115,25 @@
 	}
 }
 
+// closeEnded sends the last packet of flows whose time is over.
+func (l *flowLoad) closeEnded() {
+	now := time.Now()
+	var closing, staying []flowID
+	l.mu.Lock()
+	for _, f := range l.flows {
+		if end, short := l.ends[f]; short && now.After(end) {
+			closing = append(closing, f)
+		} else {
+			staying = append(staying, f)
+		}
+	}
+	l.flows = staying
+	l.mu.Unlock()
+	for _, f := range closing {
+		l.send(f, fabric.Last)
+	}
+}
+
 func (l *flowLoad) send(f flowID, kind fabric.Kind) {
 	err := l.fabric.Send(fabric.Packet{Source: f.source, Destination: f.destination, Kind: kind, Payload: []byte("watch")})
 	l.mu.Lock()
--- a/internal/demo/observe.go
+++ b/internal/demo/observe.go
@@ -27,7 +27,7 @@
 
 // report compares what callers sent and were told with what upstreams saw.
 func (r *run) report() (*Report, error) {
-	report := &Report{User: r.options.User, Spread: r.spread, FlowsOpened: len(r.flows.snapshot())}
+	report := &Report{User: r.options.User, Spread: r.spread, FlowsOpened: r.flows.opened, FlowsOpen: len(r.flows.snapshot())}
 	broken, err := r.brokenFlows()
 	if err != nil {
 		return nil, err
@@ -138,8 +138,11 @@
 // measureImbalance compares the flows of each active upstream with the mean.
 func (r *run) measureImbalance(report *Report) {
 	flows := make(map[int]int)
-	for _, seen := range r.sightings() {
-		flows[seen[0].target]++
+	seen := r.sightings()
+	for _, f := range r.flows.snapshot() {
+		if len(seen[f]) > 0 {
+			flows[seen[f][0].target]++
+		}
 	}
 	for _, s := range r.services {
 		most, total, number := 0, 0, 0
--- a/internal/demo/options.go
+++ b/internal/demo/options.go
@@ -29,20 +29,22 @@
 
 // Sizes of the demo's load.
 const (
-	hostCount         = 4
-	flowsPerSecond    = 300
-	maxFlowsOfService = 3000
-	packetInterval    = time.Second
-	requestWorkers    = 6
-	requestPause      = 20 * time.Millisecond
-	requestDeadline   = 5 * time.Second
-	upstreamWork      = 10 * time.Millisecond
-	upstreamQueue     = 4
-	downloadBytes     = 20_000
-	readyTimeout      = 10 * time.Second
-	spreadLimit       = 3 * time.Second
-	pollInterval      = 20 * time.Millisecond
-	fabricLag         = 500 * time.Millisecond
-	settleTimeout     = 5 * time.Second
-	stopTimeLimit     = 20 * time.Second
+	hostCount      = 4
+	flowsPerSecond = 300
+	// longFlowStride is how many flows there are to each that stays open to the end.
+	longFlowStride  = 5
+	shortFlowLife   = 5 * time.Second
+	packetInterval  = time.Second
+	requestWorkers  = 6
+	requestPause    = 20 * time.Millisecond
+	requestDeadline = 5 * time.Second
+	upstreamWork    = 10 * time.Millisecond
+	upstreamQueue   = 4
+	downloadBytes   = 20_000
+	readyTimeout    = 10 * time.Second
+	spreadLimit     = 3 * time.Second
+	pollInterval    = 20 * time.Millisecond
+	fabricLag       = 500 * time.Millisecond
+	settleTimeout   = 5 * time.Second
+	stopTimeLimit   = 20 * time.Second
 )
--- a/internal/demo/report.go
+++ b/internal/demo/report.go
@@ -29,6 +29,7 @@
 type Report struct {
 	User             string
 	FlowsOpened      int
+	FlowsOpen        int
 	FlowsBroken      int
 	PacketsSent      uint64
 	PacketsDelivered uint64
@@ -69,6 +70,7 @@
 	}
 	row("user", "%s", r.User)
 	row("flows opened", "%d", r.FlowsOpened)
+	row("flows open at the end", "%d", r.FlowsOpen)
 	row("flows broken", "%d", r.FlowsBroken)
 	row("packets sent", "%d", r.PacketsSent)
 	row("packets delivered", "%d", r.PacketsDelivered)
@@ -80,7 +82,7 @@
 	row("duplicates run", "%d", r.DuplicateRuns)
 	row("run though told not-run", "%d", r.FalseNotRun)
 	for _, i := range r.Imbalances {
-		row("imbalance "+i.Service, "%.3f (aim %.2f)", i.Ratio, i.Limit)
+		row("imbalance "+i.Service, "%.3f (%.2f is the aim in steady state at 2,000 flows an upstream)", i.Ratio, i.Limit)
 	}
 	row("configuration spread", "%s", r.Spread.Round(time.Millisecond))
 	return table.Flush()
