--- a/internal/publisher/publisher.go
+++ b/internal/publisher/publisher.go
@@ -115,10 +115,14 @@
 		return publish.State{}, err
 	}
 	state := publish.State{Bundle: bundle, Revision: head.Revision}
-	if len(bundle.Head.Quarantined) > 0 {
-		state.Hosts, err = d.readHosts(ctx)
+	if len(bundle.Head.Quarantined) == 0 {
+		return state, nil
 	}
-	return state, err
+	if state.Hosts, err = d.readHosts(ctx); err != nil {
+		// Without the hosts every address stays in quarantine; all else can be published.
+		d.options.Logger.Warn().Str("event", "publish_hosts_unread").Err(err).Send()
+	}
+	return state, nil
 }
 
 func (d *driver) readBundle(ctx context.Context, headData []byte) (*config.Bundle, error) {
--- a/internal/publisher/publisher_test.go
+++ b/internal/publisher/publisher_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/oatlatch/oatlatch/internal/config"
+	"github.com/oatlatch/oatlatch/internal/platform"
 	"github.com/oatlatch/oatlatch/internal/platform/fake"
 	"github.com/oatlatch/oatlatch/internal/publish"
 	"github.com/oatlatch/oatlatch/internal/publisher"
@@ -88,6 +89,31 @@
 	}
 }
 
+// hostless is a platform whose host list cannot be read.
+type hostless struct{ *fake.Port }
+
+func (hostless) Hosts(context.Context) (platform.HostList, error) {
+	return platform.HostList{}, &platform.UnavailableError{Call: "hosts", Err: errors.New("access denied")}
+}
+
+func TestPublishingGoesOnWithoutTheHostList(t *testing.T) {
+	port := hostless{fake.NewPort(fake.NewStore())}
+	ctx := context.Background()
+	if _, err := publisher.Publish(ctx, port, options(1), []service.Service{svc("a", 1)}); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := publisher.Publish(ctx, port, options(2), []service.Service{svc("a", 2)}); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := publisher.Publish(ctx, port, options(3), []service.Service{svc("b", 3)}); err != nil {
+		t.Fatal(err)
+	}
+	var quarantined *publish.QuarantinedError
+	if _, err := publisher.Publish(ctx, port, options(4), []service.Service{svc("c", 1)}); !errors.As(err, &quarantined) {
+		t.Fatalf("want QuarantinedError, got %v", err)
+	}
+}
+
 func TestUnusedPagesAreDeleted(t *testing.T) {
 	const publications = 200
 	port := fake.NewPort(fake.NewStore())
