--- a/internal/daemon/daemon_test.go
+++ b/internal/daemon/daemon_test.go
@@ -133,9 +133,9 @@
 	})
 
 	It("joins its peers over mutual TLS, keeps going through a reload of keys and leaves nothing running", func() {
-		authority := newAuthority()
-		first := start(hostSettings("one", server.URL(), authority.issue("one", "casa-quay")), 1)
-		second := start(hostSettings("two", server.URL(), authority.issue("two", "casa-quay"), first.Self().PeerAddress), 2)
+		signer := newAuthority()
+		first := start(hostSettings("one", server.URL(), issue(signer, "one")), 1)
+		second := start(hostSettings("two", server.URL(), issue(signer, "two"), first.Self().PeerAddress), 2)
 		publishOne(server.URL(), time.Hour)
 		Eventually(first.live, reachTimeout).Should(Equal(2))
 		Eventually(second.version, reachTimeout).Should(BeNumerically("==", 1))
@@ -154,8 +154,8 @@
 	})
 
 	It("refuses a peer whose keys another authority signed", func() {
-		first := start(hostSettings("one", server.URL(), newAuthority().issue("one", "casa-quay")), 1)
-		second := start(hostSettings("two", server.URL(), newAuthority().issue("two", "casa-quay"), first.Self().PeerAddress), 2)
+		first := start(hostSettings("one", server.URL(), issue(newAuthority(), "one")), 1)
+		second := start(hostSettings("two", server.URL(), issue(newAuthority(), "two"), first.Self().PeerAddress), 2)
 		Eventually(second.log.String, reachTimeout).Should(ContainSubstring("peer dial failed"))
 		Expect(first.live()).To(Equal(1))
 		Expect(second.live()).To(Equal(1))
