Name every log event under the same key

Cause: some duties logged the event as the message, others as a field named event, so that half of the lines had an empty msg. Change: zerolog's message field is called event; the console writer puts it in the same place whichever way it was given. Measured: go test ./internal/logging; the process tests read the new key.

--- a/internal/demo/failure_test.go
+++ b/internal/demo/failure_test.go
@@ -120,7 +120,7 @@
 		return []step{
 			{"stop a host", 0.3, r.removeHost},
 			{"read its log", 0.5, func() error {
-				if !leaving.logged("requests finished", "handed_over=", "->") || !leaving.logged("msg=stopped") {
+				if !leaving.logged("requests finished", "handed_over=", "->") || !leaving.logged("event=stopped") {
 					return errors.New("the log does not say what was handed to whom")
 				}
 				return nil
@@ -206,7 +206,7 @@
 			r.updateFabric()
 			r.requests.setHosts(r.services, r.requestAddresses())
 			leaving.Stop()
-			if err := waitLogged(r, leaving.node.(*processNode), "msg=stopping"); err != nil {
+			if err := waitLogged(r, leaving.node.(*processNode), "event=stopping"); err != nil {
 				return err
 			}
 			leaving.Stop()
--- a/internal/demo/process_test.go
+++ b/internal/demo/process_test.go
@@ -83,7 +83,7 @@
 	return strings.Join(texts, ",")
 }
 
-var adminPattern = regexp.MustCompile(`msg=started .*admin=(\S+)`)
+var adminPattern = regexp.MustCompile(`event=started .*admin=(\S+)`)
 
 // read keeps the log and learns the admin address from it.
 func (n *processNode) read(output io.Reader) {
--- a/internal/logging/logging.go
+++ b/internal/logging/logging.go
@@ -22,7 +22,7 @@
 		NoColor:         true,
 		FormatTimestamp: func(v any) string { return "time=" + fmt.Sprint(v) },
 		FormatLevel:     func(v any) string { return "level=" + fmt.Sprint(v) },
-		FormatMessage:   func(v any) string { return "msg=" + quoteMessage(v) },
+		FormatMessage:   func(v any) string { return "event=" + quoteMessage(v) },
 	}
 	return zerolog.New(console).Level(parsed).With().Timestamp().Logger(), nil
 }
@@ -37,6 +37,7 @@
 }
 
 func init() {
-	// zerolog keeps the time format in a package variable only.
+	// zerolog keeps these two in package variables only.
 	zerolog.TimeFieldFormat = time.RFC3339Nano
+	zerolog.MessageFieldName = "event"
 }
--- a/internal/logging/logging_test.go
+++ b/internal/logging/logging_test.go
@@ -15,12 +15,17 @@
 		t.Fatal(err)
 	}
 	logger.Debug().Msg("hidden")
+	logger.Info().Str("event", "by_field").Send()
+	if line := out.String(); !strings.Contains(line, "level=info event=by_field") {
+		t.Errorf("an event given as a field is not in the message's place: %q", line)
+	}
+	out.Reset()
 	logger.Info().Str("service", "berth desk\nx").Int("version", 7).Msg("configuration adopted")
 	line := out.String()
 	if strings.Count(line, "\n") != 1 {
 		t.Fatalf("want one line, got %q", line)
 	}
-	for _, pair := range []string{"time=", "level=info", `msg="configuration adopted"`, `service="berth desk\nx"`, "version=7"} {
+	for _, pair := range []string{"time=", "level=info", `event="configuration adopted"`, `service="berth desk\nx"`, "version=7"} {
 		if !strings.Contains(line, pair) {
 			t.Errorf("no %s in %q", pair, line)
 		}
