Put a publication right after an outage in force within 3 s

The adapter also repeated a watcher's first read up to three times before the watcher's own backoff. Change: the three watchers by rank of a data centre back off to 1.5 s, all others to 30 s as before; a watch is a single attempt; calls to peers of other regions have 1.5 s in place of 500 ms.

--- a/internal/adopt/duties.go
+++ b/internal/adopt/duties.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 
 	"github.com/oatlatch/oatlatch/internal/config"
 	"github.com/oatlatch/oatlatch/internal/host"
@@ -28,7 +29,11 @@
 
 // call makes one call to a peer within the deadline.
 func (r *Runner) call(ctx context.Context, to host.ID, method string, args, reply any) error {
-	ctx, cancel := context.WithTimeout(ctx, r.options.PeerDeadline)
+	deadline := r.options.PeerDeadline
+	if slices.Contains(*r.others.Load(), to) {
+		deadline *= otherRegionFactor
+	}
+	ctx, cancel := context.WithTimeout(ctx, deadline)
 	defer cancel()
 	err := r.options.Peers.Call(ctx, to, method, args, reply)
 	r.metrics.called(method, err)
--- a/internal/adopt/options.go
+++ b/internal/adopt/options.go
@@ -13,8 +13,12 @@
 	"github.com/rs/zerolog"
 )
 
-// DefaultPeerDeadline bounds one call to a peer.
-const DefaultPeerDeadline = 500 * time.Millisecond
+const (
+	// DefaultPeerDeadline bounds one call to a peer of the same region.
+	DefaultPeerDeadline = 500 * time.Millisecond
+	// otherRegionFactor lengthens the deadline of calls to other regions.
+	otherRegionFactor = 3
+)
 
 // Options configure a Runner.
 type Options struct {
@@ -22,7 +26,7 @@
 	Port platform.Port
 	// Peers calls other hosts. Their "Config" receivers are made by PeerService.
 	Peers peer.Caller
-	// PeerDeadline bounds one call to a peer.
+	// PeerDeadline bounds one call to a peer of the same region.
 	PeerDeadline time.Duration
 	// Watchers is the number of hosts of a data centre that watch the platform.
 	Watchers   int
--- a/internal/adopt/runner.go
+++ b/internal/adopt/runner.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/oatlatch/oatlatch/internal/config"
+	"github.com/oatlatch/oatlatch/internal/host"
 	"github.com/oatlatch/oatlatch/internal/membership"
 	"github.com/rs/zerolog"
 )
@@ -33,6 +34,9 @@
 	logger  zerolog.Logger
 	state   atomic.Pointer[state]
 
+	// others are the hosts of other regions.
+	others atomic.Pointer[[]host.ID]
+
 	events   chan config.Event
 	members  chan membership.View
 	reads    chan config.ReadPlatform
@@ -67,6 +71,7 @@
 		confirms: make(chan config.Confirm, 1),
 		restores: make(chan config.Restore, 1),
 	}
+	r.others.Store(&[]host.ID{})
 	r.state.Store(&state{status: config.Status{Reason: "not started", ConfirmedAge: -1}, at: options.Now()})
 	return r
 }
@@ -205,6 +210,13 @@
 
 // SetMembers gives the runner a new membership view.
 func (r *Runner) SetMembers(view membership.View) {
+	var others []host.ID
+	for _, member := range view.Members {
+		if member.Host.Region != r.options.Self.Region {
+			others = append(others, member.Host.ID)
+		}
+	}
+	r.others.Store(&others)
 	for {
 		select {
 		case r.members <- view:
--- a/internal/config/adopter.go
+++ b/internal/config/adopter.go
@@ -35,6 +35,9 @@
 	// backoffBase and backoffCap bound the delay between failed platform reads.
 	backoffBase = 100 * time.Millisecond
 	backoffCap  = 30 * time.Second
+	// watcherBackoffCap bounds it for the few hosts with the duty to watch, so that a
+	// publication right after an outage is in force in time.
+	watcherBackoffCap = 1500 * time.Millisecond
 	// joiningBackoffCap bounds it while the host has no configuration.
 	joiningBackoffCap = 4 * time.Second
 )
--- a/internal/config/adopter_platform.go
+++ b/internal/config/adopter_platform.go
@@ -26,6 +26,17 @@
 	return a.bundle == nil || a.peers.rank < a.watchers || a.now.Before(a.watch.takeover)
 }
 
+func (a *Adopter) watchBackoffCap() time.Duration {
+	switch {
+	case a.bundle == nil:
+		return joiningBackoffCap
+	case a.peers.rank < a.watchers:
+		return watcherBackoffCap
+	default:
+		return backoffCap
+	}
+}
+
 func (a *Adopter) watchTimer() {
 	if a.bundle != nil && !a.watches() && !a.now.Before(a.takeoverAt()) {
 		a.watch.takeover = a.now.Add(takeoverTerm)
@@ -82,11 +93,7 @@
 	a.watch.outstanding = false
 	a.watch.index = 0
 	a.watch.failures++
-	limit := backoffCap
-	if a.bundle == nil {
-		limit = joiningBackoffCap
-	}
-	a.watch.at = a.now.Add(a.backoff(a.watch.failures, limit))
+	a.watch.at = a.now.Add(a.backoff(a.watch.failures, a.watchBackoffCap()))
 	if a.round != nil {
 		a.round.platformErr = e.Err
 	}
--- a/internal/config/sim_converge_test.go
+++ b/internal/config/sim_converge_test.go
@@ -207,6 +207,25 @@
 	}
 }
 
+func TestPublicationRightAfterAnOutage(t *testing.T) {
+	t.Parallel()
+	for hosts, seeds := range map[int]uint64{4: 20, 50: 4, 430: 1} {
+		for seed := range seeds {
+			s := newFleet(t, seed, hosts, 4)
+			for _, h := range s.hosts {
+				h.cut = true
+			}
+			s.run(10 * time.Minute)
+			for _, h := range s.hosts {
+				h.cut = false
+			}
+			version := s.publish(svc(1, 3, 9))
+			s.run(inForce)
+			s.expect(t, version, "right after the outage")
+		}
+	}
+}
+
 func TestFleetThatStartsInAnOutageDoesNotReadInStep(t *testing.T) {
 	t.Parallel()
 	const hosts, seconds = 430, 60
--- a/internal/platform/consul.go
+++ b/internal/platform/consul.go
@@ -55,18 +55,20 @@
 	return h.value("get", key, got)
 }
 
-// Watch waits until the key changes after the index or the wait time ends.
+// Watch waits until the key changes after the index or the wait time ends. It makes
+// a single attempt: who watches decides when to try again.
 func (h *HTTP) Watch(ctx context.Context, key string, index uint64) (Value, error) {
-	if index == 0 {
-		return h.Get(ctx, key)
-	}
 	wait := h.options.WatchWait
-	query := fmt.Sprintf("index=%d&wait=%ds", index, max(1, int(wait/time.Second)))
-	got, err := h.exchange(ctx, request{
+	r := request{
 		call: "watch", method: http.MethodGet, key: key,
+		path: kvPath(key, fmt.Sprintf("index=%d&wait=%ds", index, max(1, int(wait/time.Second)))),
 		// The platform lengthens a wait by up to a sixteenth of it.
-		path: kvPath(key, query), deadline: wait + wait/16 + watchGrace,
-	})
+		deadline: wait + wait/16 + watchGrace,
+	}
+	if index == 0 {
+		r.path, r.deadline = kvPath(key, "consistent"), h.options.Deadline
+	}
+	got, err := h.exchange(ctx, r)
 	if err == nil && got.status != http.StatusOK && got.status != http.StatusNotFound {
 		err = &statusError{got.status, strings.TrimSpace(string(got.body))}
 	}
