Quarantine upstream addresses that move to another service

Cause: packets carry the service's VNI, so a moved upstream drops another's; requests carry none, and two services in different directories could even share an upstream, because files are compared only within one publication. Change: a publication refuses an upstream address of another service, and a released one stays in quarantine like a virtual address; a named test shows that a paused publisher writes nothing stale. Conclusion: a request cannot follow an address to another service.

--- a/internal/config/manifest.go
+++ b/internal/config/manifest.go
@@ -44,7 +44,7 @@
 	Publication string
 }
 
-// Quarantine is an address or request host that a service has released.
+// Quarantine is an address, request host or upstream address that a service has released.
 type Quarantine struct {
 	// Service is the service that released it and may take it back at any time.
 	Service service.ID
@@ -55,6 +55,9 @@
 	Protocol service.Protocol
 	// RequestHost is set instead of Address when the service released a request host.
 	RequestHost string `json:",omitempty"`
+	// Upstream is set instead of Address when the service released an upstream's
+	// request address.
+	Upstream netip.AddrPort `json:",omitzero"`
 	// Released is the manifest version that released the address.
 	Released Version
 	// ReleasedAt is the publisher's wall clock.
--- a/internal/config/services.go
+++ b/internal/config/services.go
@@ -39,3 +39,18 @@
 	}
 	return nil
 }
+
+// CheckUpstreams returns a *DuplicateError if two services share the request
+// address of an upstream, which could not tell their requests apart.
+func CheckUpstreams(services []service.Service) error {
+	owners := make(map[netip.AddrPort]string)
+	for _, svc := range services {
+		for _, upstream := range svc.Upstreams {
+			if first, taken := owners[upstream.Address]; taken && first != svc.Name {
+				return &DuplicateError{What: "upstream address", Value: upstream.Address.String(), First: first, Second: svc.Name}
+			}
+			owners[upstream.Address] = svc.Name
+		}
+	}
+	return nil
+}
--- a/internal/publish/errors.go
+++ b/internal/publish/errors.go
@@ -32,8 +32,11 @@
 // Error names what is awaited and the remedy.
 func (e *QuarantinedError) Error() string {
 	what := "address " + e.Entry.Address.String()
-	if e.Entry.RequestHost != "" {
+	switch {
+	case e.Entry.RequestHost != "":
 		what = "request host " + e.Entry.RequestHost
+	case e.Entry.Upstream.IsValid():
+		what = "upstream address " + e.Entry.Upstream.String()
 	}
 	return fmt.Sprintf("%s, wanted by service %q, was released in version %d and may still be in use: %s; nothing was written: use another or publish again later", what, e.Service, e.Entry.Released, e.Reason)
 }
--- a/internal/publish/machine_test.go
+++ b/internal/publish/machine_test.go
@@ -121,6 +121,49 @@
 	}
 }
 
+func TestUpstreamThatMovesToAnotherServiceIsQuarantined(t *testing.T) {
+	d := newDeployment(t)
+	shared := svc("b", 2)
+	shared.Upstreams = append(shared.Upstreams, svc("a", 1).Upstreams...)
+	var duplicate *config.DuplicateError
+	if _, err := d.publish(publish.Request{Services: []service.Service{shared}}); !errors.As(err, &duplicate) {
+		t.Fatalf("want DuplicateError, got %v", err)
+	}
+	replaced := svc("a", 1)
+	replaced.Upstreams[0].Address = netip.MustParseAddrPort("203.0.113.7:80")
+	if _, err := d.publish(publish.Request{Services: []service.Service{replaced}}); err != nil {
+		t.Fatal(err)
+	}
+	var quarantined *publish.QuarantinedError
+	if _, err := d.publish(publish.Request{Services: []service.Service{shared}}); !errors.As(err, &quarantined) {
+		t.Fatalf("want QuarantinedError, got %v", err)
+	}
+}
+
+// TestPausedPublisherWritesNothingStale pauses an operator between its last read and
+// its write, while others publish.
+func TestPausedPublisherWritesNothingStale(t *testing.T) {
+	for name, want := range map[string]verdict{"a": conflicted, "b": landed} {
+		d := newDeployment(t)
+		paused := d.operator("paused", "a", 50)
+		for _, swapping := paused.next.(publish.Swap); !swapping; _, swapping = paused.next.(publish.Swap) {
+			d.stepOne(paused)
+		}
+		for weight := range 3 {
+			if _, err := d.publish(publish.Request{Services: []service.Service{svc(name, 60+weight)}}); err != nil {
+				t.Fatal(err)
+			}
+		}
+		d.runAll([]*operator{paused})
+		if got := paused.verdict(t); got != want {
+			t.Fatalf("others changed %s: got %v, want %v", name, got, want)
+		}
+		if got := weightOf(d.readState(), name); got != 62 {
+			t.Fatalf("service %s went back to weight %d", name, got)
+		}
+	}
+}
+
 func TestReleasedRequestHostIsQuarantined(t *testing.T) {
 	d := newDeployment(t)
 	with := func(name, requestHost string) publish.Request {
--- a/internal/publish/oracle_test.go
+++ b/internal/publish/oracle_test.go
@@ -45,9 +45,15 @@
 	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{203, 0, 113, byte(number)}), 443)
 }
 
+// addresses returns what no two services may share.
+func addresses(s service.Service) []netip.AddrPort {
+	return []netip.AddrPort{s.Address, s.Upstreams[0].Address}
+}
+
 func (o *oracle) change(t *rapid.T) {
 	s := svc(rapid.SampledFrom(oracleNames).Draw(t, "name"), rapid.IntRange(1, 3).Draw(t, "weight"))
 	s.Address = oracleAddress(rapid.IntRange(1, 6).Draw(t, "address"))
+	s.Upstreams[0].Address = oracleAddress(rapid.IntRange(101, 108).Draw(t, "upstream"))
 	request := publish.Request{Services: []service.Service{s}}
 	if rapid.Bool().Draw(t, "remove another") {
 		other := rapid.SampledFrom(oracleNames).Draw(t, "other")
@@ -71,8 +77,10 @@
 		if o.taken(next, s) {
 			t.Fatalf("%s got an address in use", s.Name)
 		}
-		if o.serves(s.Address, s.Name) {
-			t.Fatalf("%s got address %s, which a host still serves for another service", s.Name, s.Address)
+		for _, address := range addresses(s) {
+			if o.serves(address, s.Name) {
+				t.Fatalf("%s got address %s, which a host still serves for another service", s.Name, address)
+			}
 		}
 		o.published = next
 		o.landed(t, result)
@@ -93,7 +101,8 @@
 
 func (o *oracle) taken(published map[string]service.Service, s service.Service) bool {
 	for name, other := range published {
-		if name != s.Name && other.Address == s.Address {
+		shared := func(a netip.AddrPort) bool { return slices.Contains(addresses(other), a) }
+		if name != s.Name && slices.ContainsFunc(addresses(s), shared) {
 			return true
 		}
 	}
@@ -114,7 +123,9 @@
 func (o *oracle) record() {
 	owners := map[netip.AddrPort]string{}
 	for name, s := range o.published {
-		owners[s.Address] = name
+		for _, address := range addresses(s) {
+			owners[address] = name
+		}
 	}
 	o.history = append(o.history, owners)
 }
--- a/internal/publish/plan.go
+++ b/internal/publish/plan.go
@@ -141,6 +141,9 @@
 	if err := config.CheckServices(services); err != nil {
 		return err
 	}
+	if err := config.CheckUpstreams(services); err != nil {
+		return err
+	}
 	for _, svc := range claimants {
 		left, err := claim(svc, head.Quarantined, s.Hosts, r.At)
 		if err != nil {
--- a/internal/publish/quarantine.go
+++ b/internal/publish/quarantine.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/netip"
 	"slices"
 	"strings"
 	"time"
@@ -33,13 +34,27 @@
 		entry.RequestHost = old.RequestHost
 		released = append(released, entry)
 	}
+	for _, upstream := range old.Upstreams {
+		if next == nil || !hasUpstream(*next, upstream.Address) {
+			entry := base
+			entry.Upstream = upstream.Address
+			released = append(released, entry)
+		}
+	}
 	return released
 }
 
+func hasUpstream(svc service.Service, address netip.AddrPort) bool {
+	return slices.ContainsFunc(svc.Upstreams, func(u service.Upstream) bool { return u.Address == address })
+}
+
 // claims reports whether the service uses what the entry holds.
 func claims(svc service.Service, q config.Quarantine) bool {
-	if q.RequestHost != "" {
+	switch {
+	case q.RequestHost != "":
 		return svc.RequestHost == q.RequestHost
+	case q.Upstream.IsValid():
+		return hasUpstream(svc, q.Upstream)
 	}
 	return svc.Address == q.Address && svc.Protocol == q.Protocol
 }
--- a/internal/publish/race_test.go
+++ b/internal/publish/race_test.go
@@ -211,7 +211,8 @@
 		Name: name, Protocol: service.TCP,
 		Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{198, 51, 100, name[0]}), 443),
 		Upstreams: []service.Upstream{{
-			Name: "one", Weight: uint32(weight), Slots: 1, Connections: 1, Address: netip.MustParseAddrPort("192.0.2.1:80"),
+			Name: "one", Weight: uint32(weight), Slots: 1, Connections: 1,
+			Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{192, 0, 2, name[0]}), 80),
 		}},
 	}
 }
