--- a/internal/demo/deployment.go
+++ b/internal/demo/deployment.go
@@ -1,6 +1,7 @@
 package demo
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -88,7 +89,7 @@
 }
 
 func (d *deployment) startHosts() error {
-	for range hostCount {
+	for range cmp.Or(d.options.hosts, hostCount) {
 		if err := d.addHost(); err != nil {
 			return err
 		}
--- a/internal/demo/flows.go
+++ b/internal/demo/flows.go
@@ -10,6 +10,9 @@
 	"github.com/oatlatch/oatlatch/internal/standin/fabric"
 )
 
+// ticksPerSecond is how often a second flows are opened.
+const ticksPerSecond = 20
+
 // flowID names a flow as callers and upstreams see it.
 type flowID struct {
 	source      netip.AddrPort
@@ -29,8 +32,10 @@
 	// ends has when each short flow ends; the others stay open.
 	ends   map[flowID]time.Time
 	opened int
-	sent   uint64
-	err    error
+	// perSecond is how many flows are opened on each service.
+	perSecond int
+	sent      uint64
+	err       error
 }
 
 // run opens flows to the services in turn until ctx ends.
@@ -42,7 +47,7 @@
 }
 
 func (l *flowLoad) open(ctx context.Context, services []service.Service) {
-	ticker := time.NewTicker(time.Second / 20)
+	ticker := time.NewTicker(time.Second / ticksPerSecond)
 	defer ticker.Stop()
 	for number := 0; ; {
 		select {
@@ -50,7 +55,7 @@
 			return
 		case <-ticker.C:
 		}
-		for range flowsPerSecond / 20 * len(services) {
+		for range l.perSecond * len(services) / ticksPerSecond {
 			s := services[number%len(services)]
 			l.openOne(flowID{source: callerAddress(number), destination: s.Address}, number/len(services)%longFlowStride == 0)
 			number++
--- a/internal/demo/options.go
+++ b/internal/demo/options.go
@@ -23,6 +23,10 @@
 
 	// launch starts hosts; nil starts them within this process.
 	launch launcher
+	// hosts is how many hosts are started; zero stands for hostCount.
+	hosts int
+	// flowsPerSecond is how many flows are opened on each service; zero stands for flowsPerSecond.
+	flowsPerSecond int
 	// steps are the changes made under load; nil makes the demo's own.
 	steps func(*run) []step
 }
--- a/internal/demo/run.go
+++ b/internal/demo/run.go
@@ -1,6 +1,7 @@
 package demo
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"time"
@@ -52,7 +53,8 @@
 	if err != nil {
 		return nil, err
 	}
-	r := &run{deployment: d, flows: flowLoad{fabric: d.fabric, answers: d.answers, ends: make(map[flowID]time.Time)}}
+	r := &run{deployment: d, flows: flowLoad{fabric: d.fabric, answers: d.answers, ends: make(map[flowID]time.Time),
+		perSecond: cmp.Or(options.flowsPerSecond, flowsPerSecond)}}
 	r.progress("%d hosts serve %d services with %d upstreams", hostCount, len(d.services), len(d.targets))
 	if err := r.load(); err != nil {
 		return nil, err
