--- a/internal/flow/estimate.go
+++ b/internal/flow/estimate.go
@@ -20,11 +20,13 @@
 	calibrationSamples = 30
 	// damping makes a change of rate count for more than it is, since every owner
 	// reacts to the same reports.
-	damping = 1.5
+	damping = 2
 	// fastLife is how many seconds an assignment takes to show in load reports.
 	fastLife = 5.0
 	// slowLife is how many seconds tell the usual rate of assignments.
 	slowLife = 15.0
+	// trendLife is how many seconds of growth are taken for a trend.
+	trendLife = 20.0
 	// reportLifetime is the age at which a load report counts no more.
 	reportLifetime = 15 * time.Second
 	// panicShare is the share of suspect upstreams from which suspicion is ignored.
@@ -141,6 +143,8 @@
 // two decay times.
 type recent struct {
 	fast, slow float64
+	// trend is the long-run mean of the difference.
+	trend float64
 }
 
 func (r *recent) add(assigned, elapsed float64) {
@@ -150,11 +154,12 @@
 	rate := assigned / elapsed
 	r.fast += (rate - r.fast) * (1 - math.Exp(-elapsed/fastLife))
 	r.slow += (rate - r.slow) * (1 - math.Exp(-elapsed/slowLife))
+	r.trend += (r.fast - r.slow - r.trend) * (1 - math.Exp(-elapsed/trendLife))
 }
 
 // surplus returns the assignments of the fast decay time beyond the usual.
 func (r *recent) surplus() float64 {
-	return (r.fast - r.slow) * fastLife
+	return (r.fast - r.slow - r.trend) * fastLife
 }
 
 // claims returns the reported flows for each unit of weight by reference, zero
