--- a/internal/member/runner_test.go
+++ b/internal/member/runner_test.go
@@ -93,6 +93,22 @@
 		Expect(third.runner.Leave(ctx)).To(MatchError(ErrStopped))
 	})
 
+	It("takes a crashed host out within 3 s", func() {
+		first := startProcess(1, 11)
+		second := startProcess(2, 12, first.self.PeerAddress)
+		third := startProcess(3, 13, first.self.PeerAddress)
+		for _, p := range []*process{first, second, third} {
+			Eventually(p.states, "5s").Should(HaveLen(3))
+		}
+		// Without its client the process cannot say farewell.
+		Expect(third.client.Close()).To(Succeed())
+		third.stop()
+		for _, p := range []*process{first, second} {
+			Eventually(p.states, "3s").Should(HaveKeyWithValue(third.self.ID, membership.Dead))
+			Expect(p.states()).To(HaveKeyWithValue(second.self.ID, membership.Live))
+		}
+	})
+
 	It("shows a host that the platform lists as leaving and live as leaving", func() {
 		first := startProcess(1, 11)
 		second := startProcess(2, 12, first.self.PeerAddress)
