--- a/internal/platform/http.go
+++ b/internal/platform/http.go
@@ -21,6 +21,8 @@
 	readAttempts = 3
 	// maxAnswerBytes bounds an answer: a listing of many values.
 	maxAnswerBytes = 32 << 20
+	// burstTime is the part of a second whose calls may be made at once.
+	burstTime = 200 * time.Millisecond
 	// watchGrace is added to a watch's wait before its answer is given up.
 	watchGrace = 2 * time.Second
 )
@@ -56,7 +58,7 @@
 		// A redirected write would be sent twice.
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
-	burst := max(1, int(options.CallsPerSecond))
+	burst := max(1, int(options.CallsPerSecond*burstTime.Seconds()))
 	return &HTTP{
 		options: options,
 		client:  client,
