--- a/internal/daemon/stop.go
+++ b/internal/daemon/stop.go
@@ -18,11 +18,10 @@
 
 	d.step(ctx, "announce", d.members.Leave)
 	d.step(ctx, "requests", func(ctx context.Context) error {
-		summary, err := d.dispatcher.Drain(ctx)
+		summary, err := d.dispatcher.Stop(ctx, d.callers)
 		log.Info().Stringer("handed_over", summary).Msg("requests finished")
 		return err
 	})
-	d.step(ctx, "connections", d.callers.Shutdown)
 	d.step(ctx, "flows", d.forwarder.Leave)
 	switch {
 	case force.Err() != nil:
--- a/internal/dispatch/handover.go
+++ b/internal/dispatch/handover.go
@@ -76,7 +76,6 @@
 		}
 		summary.Ledgers = append(summary.Ledgers, ledger)
 	}
-	d.options.Logger.Info().Str("handover", summary.String()).Msg("requests drained")
 	return summary, nil
 }
 
--- a/internal/dispatch/options.go
+++ b/internal/dispatch/options.go
@@ -69,7 +69,7 @@
 	defaultWriteTimeout    = 30 * time.Second
 	defaultDialTimeout     = time.Second
 	defaultRelayTimeout    = time.Second
-	defaultQuietTime       = time.Second
+	defaultQuietTime       = 500 * time.Millisecond
 	defaultMaxHeaderBytes  = 32 << 10
 	defaultMaxBodyBytes    = 512 << 10
 	defaultMaxAnswerBytes  = 512 << 10
