Bound what health checks cost a host

Cause: every host checked every upstream once a second and stepped the state machine over all upstreams at each result: 3,300 checks a second at 3,300 targets. Change: a host makes at most 100 checks a second; beyond 100 upstreams those that pass are checked less often and those that fail still every second. The state machine steps every 250 ms, or at once when a result changes a condition, into one slice.

--- a/internal/health/tracker.go
+++ b/internal/health/tracker.go
@@ -90,22 +90,27 @@
 	return cmp.Or(cmp.Compare(a.key.Service, b.key.Service), cmp.Compare(a.key.Name, b.key.Name))
 }
 
-// Observe takes in the result of a check. Step brings the view up to date.
-func (t *Tracker) Observe(now time.Time, check Check) {
-	if u := t.upstreams[check.Key]; u != nil {
-		u.observe(now, check)
+// Observe takes in the result of a check and reports whether it changes the
+// upstream's condition, so that Step should bring the view up to date at once.
+func (t *Tracker) Observe(now time.Time, check Check) bool {
+	u := t.upstreams[check.Key]
+	if u == nil {
+		return false
 	}
+	condition, refused := u.condition, u.refused
+	u.observe(now, check)
+	return u.condition != condition || u.refused != refused
 }
 
 // Step brings the view up to date with the checks and the time.
 func (t *Tracker) Step(now time.Time) {
-	var upstreams []Upstream
+	upstreams := make([]Upstream, 0, len(t.order))
 	for rest := t.order; len(rest) > 0; {
 		n := slices.IndexFunc(rest, func(u *tracked) bool { return u.key.Service != rest[0].key.Service })
 		if n < 0 {
 			n = len(rest)
 		}
-		upstreams = append(upstreams, t.stepService(now, rest[:n])...)
+		upstreams = t.stepService(now, rest[:n], upstreams)
 		rest = rest[n:]
 	}
 	t.forget(now)
@@ -114,14 +119,13 @@
 	}
 }
 
-// stepService decides the states of one service's upstreams.
-func (t *Tracker) stepService(now time.Time, members []*tracked) []Upstream {
+// stepService decides the states of one service's upstreams and appends them.
+func (t *Tracker) stepService(now time.Time, members []*tracked, shown []Upstream) []Upstream {
 	distrusted := t.distrust(members)
 	var changes uint64
 	for _, u := range members {
 		changes += u.load.changes
 	}
-	shown := make([]Upstream, 0, len(members))
 	for _, u := range members {
 		state, reason := u.decide(now, distrusted[u])
 		othersChanged := changes-u.load.changes >= stuckReports*uint64(len(members)-1)
--- a/internal/probe/options.go
+++ b/internal/probe/options.go
@@ -26,8 +26,12 @@
 
 // Timing and bounds of checks.
 const (
-	// checkInterval is the time between two checks of one upstream by one host.
+	// checkInterval is the time between two checks of one upstream by one host, as
+	// long as this makes no more than maxChecksPerSecond.
 	checkInterval = time.Second
+	// maxChecksPerSecond bounds what checks cost a host. With more upstreams the
+	// checks of those that pass come less often.
+	maxChecksPerSecond = 100
 	// checkTimeout bounds one check.
 	checkTimeout = time.Second
 	// viewInterval is the least time between two views that differ in loads only.
--- a/internal/probe/runner.go
+++ b/internal/probe/runner.go
@@ -25,6 +25,9 @@
 	schedule  schedule
 	view      atomic.Pointer[health.View]
 	names     atomic.Pointer[map[service.ID]string]
+	// stepped is when the view was last brought up to date; zero when a check has
+	// changed what is known of an upstream since.
+	stepped time.Time
 	// published is when a view was last published.
 	published time.Time
 }
@@ -108,14 +111,18 @@
 	}
 	r.names.Store(&names)
 	r.tracker.Adopt(now, snapshot)
+	r.stepped = time.Time{}
 	r.schedule.set(now, targetsOf(snapshot), r.random)
 }
 
 // observe takes in a result.
 func (r *Runner) observe(check health.Check) {
 	r.metrics.count(check)
-	r.schedule.done(check.Key)
-	r.tracker.Observe(r.options.Now(), check)
+	now := r.options.Now()
+	r.schedule.done(now, check.Key, check.Outcome == health.Passed)
+	if r.tracker.Observe(now, check) {
+		r.stepped = time.Time{}
+	}
 }
 
 // dispatch hands due checks to the workers, as far as these have room.
@@ -158,6 +165,10 @@
 // publish hands a changed view to its readers: at once when a state has changed,
 // otherwise at most once in viewInterval.
 func (r *Runner) publish(now time.Time) {
+	if now.Sub(r.stepped) < viewInterval {
+		return
+	}
+	r.stepped = now
 	r.tracker.Step(now)
 	view := r.tracker.View()
 	was := r.View()
--- a/internal/probe/schedule.go
+++ b/internal/probe/schedule.go
@@ -41,20 +41,23 @@
 
 // schedule spreads the checks of all targets over the interval.
 type schedule struct {
-	queue slotQueue
-	slots map[health.Key]*slot
+	// interval is the time between two checks of a target that passes.
+	interval time.Duration
+	queue    slotQueue
+	slots    map[health.Key]*slot
 }
 
 // set replaces the targets. New ones are checked at random times within one
 // interval, so that hosts do not check in step.
 func (s *schedule) set(now time.Time, targets []target, random *rand.Rand) {
 	former := s.slots
+	s.interval = max(checkInterval, time.Duration(len(targets))*time.Second/maxChecksPerSecond)
 	s.slots = make(map[health.Key]*slot, len(targets))
 	s.queue = s.queue[:0]
 	for _, t := range targets {
 		entry := former[t.key]
 		if entry == nil {
-			entry = &slot{at: now.Add(time.Duration(random.Int64N(int64(checkInterval))))}
+			entry = &slot{at: now.Add(time.Duration(random.Int64N(int64(s.interval))))}
 		}
 		entry.target = t
 		s.slots[t.key] = entry
@@ -82,17 +85,24 @@
 }
 
 func (s *schedule) postpone(now time.Time, entry *slot) {
-	entry.at = entry.at.Add(checkInterval)
+	entry.at = entry.at.Add(s.interval)
 	if entry.at.Before(now) {
-		entry.at = now.Add(checkInterval)
+		entry.at = now.Add(s.interval)
 	}
 	heap.Fix(&s.queue, entry.index)
 }
 
-// done notes that a check has ended.
-func (s *schedule) done(key health.Key) {
-	if entry := s.slots[key]; entry != nil {
-		entry.running = false
+// done notes that a check has ended. A target that does not pass is checked again
+// after checkInterval, however long the interval of the others.
+func (s *schedule) done(now time.Time, key health.Key, passed bool) {
+	entry := s.slots[key]
+	if entry == nil {
+		return
+	}
+	entry.running = false
+	if soon := now.Add(checkInterval); !passed && entry.at.After(soon) {
+		entry.at = soon
+		heap.Fix(&s.queue, entry.index)
 	}
 }
 
--- /dev/null
+++ b/internal/probe/slope_test.go
@@ -0,0 +1,45 @@
+package probe
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/oatlatch/oatlatch/internal/health"
+)
+
+// BenchmarkSlopeCheck measures the processor time of one health check with a load
+// report, both ends included.
+func BenchmarkSlopeCheck(b *testing.B) {
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, request *http.Request) {
+		if request.URL.Path == "/load" {
+			_ = json.NewEncoder(w).Encode(health.Report{Load: 0.5, SlotsInUse: 1, Connections: 50})
+		}
+	}))
+	defer server.Close()
+	checker := newChecker()
+	defer checker.close()
+	t := target{address: netip.MustParseAddrPort(server.Listener.Addr().String()), healthPath: "/health", loadPath: "/load"}
+	before := processorTime(b)
+	checks := 0
+	for b.Loop() {
+		if check := checker.check(context.Background(), t); check.Outcome != health.Passed || check.Report == nil {
+			b.Fatalf("check failed: %+v", check)
+		}
+		checks++
+	}
+	b.ReportMetric(float64((processorTime(b)-before).Microseconds())/float64(checks), "cpu-µs/check")
+}
+
+func processorTime(b *testing.B) time.Duration {
+	var usage syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &usage); err != nil {
+		b.Fatal(err)
+	}
+	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
+}
