Relay tickets under an unknown key to their issuer alone

Cause: a forged ticket that names an unknown key made a host ask up to four others, with the whole body. Change: only the issuer is asked, if it may live; the outcome stays unknown with a time to come back, as the key may be newer than this host's configuration.

--- a/internal/dispatch/cluster_test.go
+++ b/internal/dispatch/cluster_test.go
@@ -45,6 +45,7 @@
 	lose    map[host.ID]bool
 	counter uint64
 	hidden  bool
+	calls   int
 }
 
 // node is one entry host of a cluster.
@@ -216,6 +217,13 @@
 	c.hidden = on
 }
 
+// callCount returns the number of calls between hosts.
+func (c *cluster) callCount() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.calls
+}
+
 // skewView gives one host a view of its own, in which others may be dead or missing.
 func (c *cluster) skewView(id host.ID, r *rand.Rand) {
 	var view membership.View
@@ -285,6 +293,7 @@
 func (p *fakePeers) Call(ctx context.Context, to host.ID, method string, args, reply any) error {
 	c := p.cluster
 	c.mu.Lock()
+	c.calls++
 	target, cut, lose := c.nodes[to], c.cuts[[2]host.ID{p.from, to}], c.lose[to]
 	c.mu.Unlock()
 	if target == nil || cut {
--- a/internal/dispatch/holders.go
+++ b/internal/dispatch/holders.go
@@ -15,7 +15,8 @@
 const maxSuccessors = 3
 
 // holders lists the hosts to ask for a ticket's ledger: a known successor, the
-// issuer if it may be alive, and the candidates for successor.
+// issuer if it may be alive, and the candidates for successor. A ticket that
+// cannot be verified here is worth asking its issuer only.
 func (d *Dispatcher) holders(t ticket.Ticket, first host.ID) []host.ID {
 	var ids []host.ID
 	if first != "" {
@@ -24,6 +25,9 @@
 	if d.mayLive(t.Issuer, t.Incarnation) {
 		ids = append(ids, t.Issuer)
 	}
+	if !d.verifiable(t) {
+		return ids
+	}
 	for _, id := range d.successors(t.Incarnation) {
 		if !slices.Contains(ids, id) {
 			ids = append(ids, id)
@@ -32,6 +36,13 @@
 	return ids
 }
 
+// verifiable says whether the ticket's key is held here.
+func (d *Dispatcher) verifiable(t ticket.Ticket) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.keys.Knows(t.KeyID)
+}
+
 // mayLive says whether the view does not rule out that the incarnation is alive.
 func (d *Dispatcher) mayLive(id host.ID, incarnation host.Incarnation) bool {
 	d.mu.Lock()
--- a/internal/dispatch/refuse_test.go
+++ b/internal/dispatch/refuse_test.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/oatlatch/oatlatch/internal/dispatch"
+	"github.com/oatlatch/oatlatch/internal/host"
 	"github.com/oatlatch/oatlatch/internal/ticket"
 )
 
@@ -45,12 +46,12 @@
 		{"deadline huge", freshTicket(t, n), dispatch.HeaderDeadline, "99999999999999999999", "not-run/bad-deadline"},
 	}
 	for _, test := range cases {
-		for _, host := range []*node{n, c.node("entry-1")} {
-			resp, _ := post(t, host, test.ticket, "bad", test.header, test.value)
+		for _, at := range []*node{n, c.node("entry-1")} {
+			resp, _ := post(t, at, test.ticket, "bad", test.header, test.value)
 			got := outcomeOf(resp)
 			repeated := got == "not-run/ticket-refused" && test.header != ""
 			if got != test.want && !repeated {
-				t.Errorf("%s at %s: got %s, want %s", test.name, host.self, got, test.want)
+				t.Errorf("%s at %s: got %s, want %s", test.name, at.self, got, test.want)
 			}
 			if resp.Header.Get(dispatch.HeaderTicket) == "" {
 				t.Errorf("%s: the refusal brought no fresh ticket", test.name)
@@ -62,6 +63,22 @@
 	}
 }
 
+func TestTicketsUnderAnUnknownKeyCostAtMostOneIssuer(t *testing.T) {
+	c := newCluster(t, clusterOptions{hosts: 4, upstreams: 1, slots: 3})
+	n := c.node("entry-0")
+	for issuer, want := range map[host.ID]int{"entry-1": 1, "nowhere": 0} {
+		claims := ticket.Ticket{Issuer: issuer, Incarnation: 2, Sequence: 1, Service: 7, ExpiresMs: 1 << 50}
+		before := c.callCount()
+		resp, _ := post(t, n, ticket.Encode(claims, []byte("another deployment's key")), "forged")
+		if got := c.callCount() - before; got != want {
+			t.Errorf("%s: %d calls between hosts, want %d", issuer, got, want)
+		}
+		if resp.Header.Get(dispatch.HeaderOutcome) == "answered" || c.runs()["forged"] != 0 {
+			t.Errorf("%s: %s", issuer, outcomeOf(resp))
+		}
+	}
+}
+
 func TestRefusalBurnsTheTicketAgainstADelayedDuplicate(t *testing.T) {
 	c := newCluster(t, clusterOptions{hosts: 2, upstreams: 1, slots: 3})
 	ticket := freshTicket(t, c.node("entry-0"))
--- a/internal/dispatch/relay.go
+++ b/internal/dispatch/relay.go
@@ -138,7 +138,7 @@
 			return reply.Result
 		}
 	}
-	if unreachable {
+	if unreachable || !d.verifiable(t) {
 		return unknown(reasonOf(ctx, admission.ReasonIssuerUnreachable))
 	}
 	return unknown(admission.ReasonTicketVoid)
--- a/internal/ticket/keyring.go
+++ b/internal/ticket/keyring.go
@@ -32,6 +32,11 @@
 // Ready says whether tickets can be issued.
 func (k *Keyring) Ready() bool { return len(k.keys) > 0 }
 
+// Knows says whether a key is held that tickets may have been issued under.
+func (k *Keyring) Knows(id uint32) bool {
+	return slices.ContainsFunc(slices.Concat(k.keys, k.retired), func(key namedKey) bool { return key.id == id })
+}
+
 // Encode returns the wire form of the ticket under the newest key.
 func (k *Keyring) Encode(t Ticket) string { return encode(t, k.keys[0]) }
 
