--- a/internal/dispatch/borrow.go
+++ b/internal/dispatch/borrow.go
@@ -14,8 +14,10 @@
 	// lendersAsked is the number of hosts asked in one round.
 	lendersAsked = 2
 	// firstLendPause and lastLendPause bound the wait between rounds.
-	firstLendPause = 10 * time.Millisecond
-	lastLendPause  = 40 * time.Millisecond
+	firstLendPause = 5 * time.Millisecond
+	lastLendPause  = 160 * time.Millisecond
+	// lendPauseDivisor makes the pause after denials a part of the service time.
+	lendPauseDivisor = 4
 )
 
 // acquire waits for a slot of this host or of another one that lends it.
--- a/internal/dispatch/lane.go
+++ b/internal/dispatch/lane.go
@@ -31,7 +31,6 @@
 	// borrowing is set while a loan is asked for beside the queue.
 	borrowing   bool
 	borrowAfter time.Time
-	borrowPause time.Duration
 }
 
 func newLane(now func() time.Time, seed uint64, limits Limits) *lane {
--- a/internal/dispatch/lending.go
+++ b/internal/dispatch/lending.go
@@ -54,17 +54,16 @@
 	return true
 }
 
-// borrowed ends the round that mayBorrow allowed.
+// borrowed ends the round that mayBorrow allowed. After denials it pauses for a
+// part of the service time, in which few slots become free.
 func (l *lane) borrowed(ok bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.borrowing = false
-	if ok {
-		l.borrowPause = 0
-		return
+	if !ok {
+		pause := l.scheduler.Estimate() / lendPauseDivisor
+		l.borrowAfter = l.now().Add(min(lastLendPause, max(firstLendPause, pause)))
 	}
-	l.borrowPause = min(lastLendPause, max(firstLendPause, 2*l.borrowPause))
-	l.borrowAfter = l.now().Add(l.borrowPause)
 }
 
 // enterBorrowers counts a request in that waits for a loan, up to a limit.
