--- a/internal/demo/options.go
+++ b/internal/demo/options.go
@@ -48,7 +48,9 @@
 	readyTimeout    = 10 * time.Second
 	spreadLimit     = 3 * time.Second
 	pollInterval    = 20 * time.Millisecond
-	fabricLag       = 500 * time.Millisecond
-	settleTimeout   = 5 * time.Second
-	stopTimeLimit   = 20 * time.Second
+	// lastPause is the least time for which flows and requests go on after the last change.
+	lastPause     = time.Second
+	fabricLag     = 500 * time.Millisecond
+	settleTimeout = 5 * time.Second
+	stopTimeLimit = 20 * time.Second
 )
