--- a/internal/flow/churn_test.go
+++ b/internal/flow/churn_test.go
@@ -1,6 +1,7 @@
 package flow_test
 
 import (
+	"fmt"
 	"slices"
 	"testing"
 	"time"
@@ -167,3 +168,26 @@
 	}
 	return float64(highest) / minute
 }
+
+// BenchmarkSlopeControl reports the control bytes that the drain of one of 14
+// upstreams costs the busiest host, by number of hosts. One op is one drain.
+func BenchmarkSlopeControl(b *testing.B) {
+	for _, hosts := range []int{4, 8, 16, 32} {
+		b.Run(fmt.Sprintf("hosts=%d", hosts), func(b *testing.B) {
+			for b.Loop() {
+				c := newCluster(6, faults{delay: 20 * time.Millisecond, unevenness: time.Second}, desk(1, 14, service.PreferFlows))
+				c.start(slices.Repeat([]string{"akl-a", "akl-b", "ham-a", "tga-a"}, hosts/4)...)
+				c.run(15 * time.Second)
+				c.openFlows(&c.desks[0], 0, 1000)
+				c.measure = true
+				c.drain(0, 3)
+				c.run(10 * time.Second)
+				worst := 0
+				for _, n := range c.nodes {
+					worst = max(worst, n.in+n.out)
+				}
+				b.ReportMetric(float64(worst), "ctrl-B/host")
+			}
+		})
+	}
+}
