Keep bodies and headers within a message between hosts

Cause: the setting request_body defaulted to 1 MiB and allowed 64 MiB, and request_header 1 MiB, but a relayed request must fit into a message of 1 MiB; a larger one would have been told unknown.

--- a/internal/daemon/build.go
+++ b/internal/daemon/build.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/tls"
 	"fmt"
+	"log"
 	"net"
 	"net/netip"
 	"slices"
@@ -170,6 +171,7 @@
 
 func (d *Daemon) buildServers() {
 	d.callers = dispatch.NewServer(d.dispatcher.Handler(), d.requestLimits())
+	d.callers.ErrorLog = log.New(d.options.Logger, "", 0)
 	d.operators = admin.NewServer(admin.Options{
 		Status: func() any { return d.Status() }, Explain: d.forwarder.Explain,
 		Ready: d.Ready, Gatherer: d.registry,
--- a/internal/dispatch/options.go
+++ b/internal/dispatch/options.go
@@ -34,7 +34,7 @@
 	WriteTimeout time.Duration
 	// DialTimeout bounds connecting to an upstream.
 	DialTimeout time.Duration
-	// RelayTimeout bounds one try to reach a ticket's issuer beyond the request itself.
+	// RelayTimeout bounds how long a refusal waits for the issuer to burn the ticket.
 	RelayTimeout time.Duration
 	// QuietTime is how long no request must arrive before a stopping host closes
 	// its idle connections.
@@ -82,6 +82,10 @@
 	defaultRetryRatio      = 0.1
 )
 
+// maxRelayedBytes bounds bodies and answers so that with their headers they fit
+// into one message between hosts.
+const maxRelayedBytes = 768 << 10
+
 func (l Limits) withDefaults() Limits {
 	orDefault(&l.DefaultDeadline, defaultDeadline)
 	orDefault(&l.MaxDeadline, defaultMaxDeadline)
@@ -100,6 +104,8 @@
 	orDefault(&l.MaxResultBytes, defaultMaxResultBytes)
 	orDefault(&l.MaxTickets, defaultMaxTickets)
 	orDefault(&l.RetryRatio, defaultRetryRatio)
+	l.MaxBodyBytes = min(l.MaxBodyBytes, maxRelayedBytes)
+	l.MaxAnswerBytes = min(l.MaxAnswerBytes, maxRelayedBytes)
 	return l
 }
 
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -14,9 +14,9 @@
 	maxWorkers        = 256
 	minFlows          = 1024
 	maxFlows          = 16_000_000
-	maxBodyBytes      = 64 << 20
+	maxBodyBytes      = 768 << 10
 	minHeaderBytes    = 1024
-	maxHeaderBytes    = 1 << 20
+	maxHeaderBytes    = 128 << 10
 	maxQueue          = 1_000_000
 	maxDuration       = 24 * time.Hour
 	maxCallsPerSecond = 1000.0
