Read the platform at once after a failed fetch while joining

Its next read waited for a change of the head it knew, so the round ended without the platform and the host took a lower version of its peers although the higher one was reachable. Ruled out: a lost answer of a peer, which the rounds ask again. Change: a host that drops a candidate reads the head with index zero. Conclusion: a joining host takes the highest reachable version again.

--- a/internal/config/adopter_fetch.go
+++ b/internal/config/adopter_fetch.go
@@ -67,12 +67,13 @@
 func (a *Adopter) dropCandidate() {
 	failed := a.candidate.source
 	a.candidate = nil
+	// The next read must answer at once, also with a head that was read before.
+	a.watch.index = 0
 	if a.bundle == nil {
 		a.round.best = nil
 		a.beginRound()
 		return
 	}
-	a.watch.index = 0
 	a.pullNoticed()
 	if a.pulls.noticed == "" && a.pulls.routine == "" {
 		a.pullRandom(failed.Peer)
@@ -85,6 +86,7 @@
 	bundle, err := NewBundle(c.data, c.pages, a.bundle)
 	if err != nil {
 		a.refuse(c.source, c.head.Version, err)
+		a.watch.index = 0
 		if a.round != nil {
 			a.round.best = nil
 			a.round.running = false
--- a/internal/config/decode_test.go
+++ b/internal/config/decode_test.go
@@ -1,6 +1,7 @@
 package config_test
 
 import (
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -104,3 +105,23 @@
 		})
 	}
 }
+
+// TestJoiningHostReadsThePlatformAgainAfterAFailedFetch is what rapid found with seed
+// 1663353: the second read waited for a change of the head, so that the round ended
+// with the lower version of a peer.
+func TestJoiningHostReadsThePlatformAgainAfterAFailedFetch(t *testing.T) {
+	head, _ := stored(t, 1)
+	now := time.Unix(1_800_000_000, 0)
+	a := config.NewAdopter(config.AdopterOptions{Self: host.Host{ID: "self"}, Seed: 1})
+	a.Start(now)
+	a.Step(now, config.PlatformRead{Head: head, Revision: 7, Index: 7})
+	now = now.Add(2 * time.Second)
+	if actions := a.Step(now, config.TimerFired{}); len(actions) != 1 {
+		t.Fatalf("want one Fetch, got %+v", actions)
+	}
+	now = now.Add(2 * time.Second)
+	actions := a.Step(now, config.FetchFailed{Source: config.Platform, Err: errUnreachable})
+	if !slices.Contains(actions, config.Action(config.ReadPlatform{Index: 0})) {
+		t.Fatalf("does not read the platform at once: %+v", actions)
+	}
+}
