Leave room for heartbeats beside relays

Cause: peers allow 64 calls in flight; relays to a slow service last as long as their requests and could take them all, so that heartbeats and loans fail and a host looks dead. Change: at most 32 relays in progress to one host, the others wait.

--- a/internal/dispatch/cluster_test.go
+++ b/internal/dispatch/cluster_test.go
@@ -46,6 +46,9 @@
 	counter uint64
 	hidden  bool
 	calls   int
+	// relaying counts the relays in progress, and relayPeak the most at once.
+	relaying  int
+	relayPeak int
 }
 
 // node is one entry host of a cluster.
@@ -294,6 +297,15 @@
 	c := p.cluster
 	c.mu.Lock()
 	c.calls++
+	if method == "Request.Relay" {
+		c.relaying++
+		c.relayPeak = max(c.relayPeak, c.relaying)
+		defer func() {
+			c.mu.Lock()
+			defer c.mu.Unlock()
+			c.relaying--
+		}()
+	}
 	target, cut, lose := c.nodes[to], c.cuts[[2]host.ID{p.from, to}], c.lose[to]
 	c.mu.Unlock()
 	if target == nil || cut {
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -54,6 +54,7 @@
 
 	loans      loanBook
 	background *background
+	gates      *gates
 }
 
 // New returns a dispatcher that refuses requests until it adopts a configuration.
@@ -68,6 +69,7 @@
 		viewed:  make(chan struct{}),
 
 		background: newBackground(),
+		gates:      newGates(),
 		books:      make(map[host.Incarnation]*book),
 		incoming:   make(map[host.Incarnation]*ticket.Transfer),
 		begun:      make(map[host.Incarnation]time.Time),
--- a/internal/dispatch/holder_test.go
+++ b/internal/dispatch/holder_test.go
@@ -1,6 +1,7 @@
 package dispatch_test
 
 import (
+	"fmt"
 	"net/http"
 	"testing"
 	"time"
@@ -149,3 +150,26 @@
 		}
 	}
 }
+
+func TestRelaysLeaveRoomForOtherCallsBetweenHosts(t *testing.T) {
+	c := newCluster(t, clusterOptions{hosts: 2, upstreams: 1, slots: 100, work: 20 * time.Millisecond, queue: 1000})
+	issuer, other := c.node("entry-0"), c.node("entry-1")
+	told := make(chan string, 60)
+	for i := range cap(told) {
+		ticket := freshTicket(t, issuer)
+		go func() {
+			resp, _ := post(t, other, ticket, fmt.Sprint("c", i))
+			told <- outcomeOf(resp)
+		}()
+	}
+	for range cap(told) {
+		if got := <-told; got != "answered/ok" {
+			t.Errorf("told %s", got)
+		}
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.relayPeak > 32 {
+		t.Errorf("%d relays were in progress at once", c.relayPeak)
+	}
+}
--- a/internal/dispatch/relay.go
+++ b/internal/dispatch/relay.go
@@ -168,10 +168,15 @@
 // askOnce calls with arguments of its own, which the call may still be encoding
 // after it has returned.
 func (d *Dispatcher) askOnce(ctx context.Context, to host.ID, args RelayArgs) (RelayReply, error) {
+	leave, err := d.gates.enter(ctx, to)
+	if err != nil {
+		return RelayReply{}, err
+	}
+	defer leave()
 	deadline, _ := ctx.Deadline()
 	args.LeftMs = max(1, time.Until(deadline).Milliseconds())
 	var reply RelayReply
-	err := d.options.Peers.Call(ctx, to, "Request.Relay", &args, &reply)
+	err = d.options.Peers.Call(ctx, to, "Request.Relay", &args, &reply)
 	if err != nil {
 		d.metrics.relays.WithLabelValues("failed").Inc()
 		return RelayReply{}, err
