--- a/cmd/oatlatch/publish.go
+++ b/cmd/oatlatch/publish.go
@@ -41,10 +41,18 @@
 		fmt.Printf("version %d: no change, nothing written\n", result.Version)
 		return nil
 	}
-	fmt.Printf("version %d: published %s (publication %s)\n", result.Version, strings.Join(result.Changed, ", "), result.Publication)
+	fmt.Printf("version %d: publication %s\n", result.Version, result.Publication)
+	printNames("published", result.Changed)
+	printNames("removed", result.Removed)
 	return nil
 }
 
+func printNames(what string, names []string) {
+	if len(names) > 0 {
+		fmt.Printf("%s: %s\n", what, strings.Join(names, ", "))
+	}
+}
+
 func (c *publishCommand) operator() string {
 	if c.Operator != "" {
 		return c.Operator
