--- a/internal/forward/forwarder_test.go
+++ b/internal/forward/forwarder_test.go
@@ -27,7 +27,7 @@
 // receiveTimeout bounds the wait for a packet that must arrive.
 const receiveTimeout = 5 * time.Second
 
-func listen(t *testing.T) *net.UDPConn {
+func listen(t testing.TB) *net.UDPConn {
 	t.Helper()
 	conn, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(loopback))
 	if err != nil {
@@ -42,7 +42,7 @@
 }
 
 // syn builds an encapsulated first packet from the port to the destination.
-func syn(t *testing.T, port uint16, destination netip.AddrPort) []byte {
+func syn(t testing.TB, port uint16, destination netip.AddrPort) []byte {
 	t.Helper()
 	ip := &layers.IPv4{Version: 4, TTL: 64, Protocol: layers.IPProtocolTCP, SrcIP: net.IPv4(192, 0, 2, 1), DstIP: destination.Addr().AsSlice()}
 	tcp := &layers.TCP{SrcPort: layers.TCPPort(port), DstPort: layers.TCPPort(destination.Port()), SYN: true}
@@ -64,7 +64,7 @@
 	}
 }
 
-func start(t *testing.T, id host.ID) *forward.Forwarder {
+func start(t testing.TB, id host.ID) *forward.Forwarder {
 	t.Helper()
 	f, err := forward.New(forward.Options{
 		Self: host.Host{ID: id, DataCentre: "casa-quay"}, Listen: loopback,
