Bound the connections of callers

Cause: nothing bounded how many connections callers may hold on a host. Change: limits.connections, by default 20,000, through netutil's LimitListener. Measured: settings and daemon suites pass; a value below 1 is refused.

--- a/internal/daemon/build.go
+++ b/internal/daemon/build.go
@@ -9,6 +9,8 @@
 	"net/netip"
 	"slices"
 
+	"golang.org/x/net/netutil"
+
 	"github.com/oatlatch/oatlatch/internal/admin"
 	"github.com/oatlatch/oatlatch/internal/adopt"
 	"github.com/oatlatch/oatlatch/internal/dispatch"
@@ -48,6 +50,7 @@
 		return err
 	}
 	d.self.RequestAddress = boundAddress(d.requests)
+	d.requests = netutil.LimitListener(d.requests, s.Limits.Connections)
 	d.admin, err = listen("admin", s.Listen.Admin)
 	return err
 }
--- a/internal/daemon/daemon_test.go
+++ b/internal/daemon/daemon_test.go
@@ -70,7 +70,7 @@
 		Peers:    settings.Peers{Seeds: seeds},
 		Platform: settings.Platform{Addresses: []string{platformURL}, Deadline: time.Second, CallsPerSecond: 10},
 		TLS:      keys,
-		Limits:   settings.Limits{Flows: 4096, Workers: 1, RequestBody: 1 << 16, RequestHeader: 1 << 14, Queue: 8, Deadline: time.Second},
+		Limits:   settings.Limits{Flows: 4096, Workers: 1, Connections: 16, RequestBody: 1 << 16, RequestHeader: 1 << 14, Queue: 8, Deadline: time.Second},
 		Stop:     settings.Stop{TimeLimit: 30 * time.Second},
 	}
 }
--- a/internal/demo/entry.go
+++ b/internal/demo/entry.go
@@ -135,7 +135,7 @@
 		Platform: settings.Platform{Addresses: []string{d.platform.URL()}, Deadline: time.Second, CallsPerSecond: 5},
 		Log:      settings.Log{Level: "info"},
 		Limits: settings.Limits{
-			Flows: 500_000, Workers: 2, RequestBody: 1 << 20, RequestHeader: 16 << 10, Queue: 64, Deadline: requestDeadline,
+			Flows: 500_000, Workers: 2, Connections: 20_000, RequestBody: 1 << 20, RequestHeader: 16 << 10, Queue: 64, Deadline: requestDeadline,
 		},
 		Stop: settings.Stop{TimeLimit: stopTimeLimit},
 	}
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -14,6 +14,7 @@
 	maxWorkers        = 256
 	minFlows          = 1024
 	maxFlows          = 16_000_000
+	maxConnections    = 1_000_000
 	maxBodyBytes      = 768 << 10
 	minHeaderBytes    = 1024
 	maxHeaderBytes    = 128 << 10
@@ -42,6 +43,7 @@
 	c.tls(s)
 	c.within("flows", int64(s.Limits.Flows), minFlows, maxFlows)
 	c.within("workers", int64(s.Limits.Workers), 1, maxWorkers)
+	c.within("connections", int64(s.Limits.Connections), 1, maxConnections)
 	c.within("request_body", s.Limits.RequestBody, 0, maxBodyBytes)
 	c.within("request_header", int64(s.Limits.RequestHeader), minHeaderBytes, maxHeaderBytes)
 	c.within("queue", int64(s.Limits.Queue), 0, maxQueue)
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -62,6 +62,7 @@
 type Limits struct {
 	Flows         int           `name:"flows" default:"500000" help:"Most flow records held."`
 	Workers       int           `name:"workers" default:"2" help:"Goroutines that forward packets."`
+	Connections   int           `name:"connections" default:"20000" help:"Most connections of callers held; further ones wait in the listener's queue."`
 	RequestBody   int64         `name:"request-body" default:"524288" help:"Largest body in bytes of a non-idempotent request; it must fit into a message between hosts."`
 	RequestHeader int           `name:"request-header" default:"16384" help:"Largest request header in bytes."`
 	Queue         int           `name:"queue" default:"64" help:"Most requests that wait for a slot, for each service."`
