--- a/internal/service/limits.go
+++ b/internal/service/limits.go
@@ -24,6 +24,6 @@
 	maxSlowStart       = 10 * time.Minute
 
 	defaultFlowsThreshold   = 0.30
-	defaultBalanceThreshold = 0.05
+	defaultBalanceThreshold = 0.01
 	maxThreshold            = 10.0
 )
--- a/internal/service/parse_test.go
+++ b/internal/service/parse_test.go
@@ -38,7 +38,7 @@
 	if s.Name != "berth-desk" || s.Protocol != service.TCP || s.Prefer != service.PreferBalance {
 		t.Errorf("service section read wrongly: %+v", s)
 	}
-	if s.DrainLimit != time.Hour || s.DeviationThreshold != 0.05 {
+	if s.DrainLimit != time.Hour || s.DeviationThreshold != 0.01 {
 		t.Errorf("defaults not applied: %+v", s)
 	}
 	if len(s.Upstreams) != 2 || s.Upstreams[0].Name != "a" || s.Upstreams[1].Weight != 3 {
