--- a/cmd/oatlatchd/run.go
+++ b/cmd/oatlatchd/run.go
@@ -62,7 +62,7 @@
 			switch {
 			case received == syscall.SIGHUP:
 				if err := d.ReloadKeys(); err != nil {
-					logger.Error().Err(err).Msg("reload failed")
+					logger.Error().Err(err).Msg("reload_failed")
 				}
 			case stop.Err() == nil:
 				cancelStop()
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -74,7 +74,7 @@
 	if err := d.keys.Reload(); err != nil {
 		return fmt.Errorf("keys not reloaded, the former ones stay in use: %w", err)
 	}
-	d.options.Logger.Info().Msg("keys reloaded")
+	d.options.Logger.Info().Msg("keys_reloaded")
 	return nil
 }
 
--- a/internal/daemon/daemon_test.go
+++ b/internal/daemon/daemon_test.go
@@ -156,7 +156,7 @@
 	It("refuses a peer whose keys another authority signed", func() {
 		first := start(hostSettings("one", server.URL(), issue(newAuthority(), "one")), 1)
 		second := start(hostSettings("two", server.URL(), issue(newAuthority(), "two"), first.Self().PeerAddress), 2)
-		Eventually(second.log.String, reachTimeout).Should(ContainSubstring("peer dial failed"))
+		Eventually(second.log.String, reachTimeout).Should(ContainSubstring("peer_dial_failed"))
 		Expect(first.live()).To(Equal(1))
 		Expect(second.live()).To(Equal(1))
 	})
--- a/internal/daemon/stop.go
+++ b/internal/daemon/stop.go
@@ -19,15 +19,15 @@
 	d.step(ctx, "announce", d.members.Leave)
 	d.step(ctx, "requests", func(ctx context.Context) error {
 		summary, err := d.dispatcher.Stop(ctx, d.callers)
-		log.Info().Stringer("handed_over", summary).Msg("requests finished")
+		log.Info().Stringer("handed_over", summary).Msg("requests_finished")
 		return err
 	})
 	d.step(ctx, "flows", d.forwarder.Leave)
 	switch {
 	case force.Err() != nil:
-		log.Warn().Msg("stop forced, work in progress was cut")
+		log.Warn().Msg("stop_forced")
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
-		log.Warn().Msg("stop passed its time limit, raise stop.time_limit to let work finish")
+		log.Warn().Msg("stop_passed_time_limit")
 	default:
 		log.Info().Dur("took_ms", d.options.Now().Sub(started)).Msg("stopped")
 	}
@@ -35,6 +35,6 @@
 
 func (d *Daemon) step(ctx context.Context, name string, run func(context.Context) error) {
 	if err := run(ctx); err != nil {
-		d.options.Logger.Warn().Str("step", name).Err(err).Msg("stop step failed")
+		d.options.Logger.Warn().Str("step", name).Err(err).Msg("stop_step_failed")
 	}
 }
--- a/internal/demo/failure_test.go
+++ b/internal/demo/failure_test.go
@@ -120,7 +120,7 @@
 		return []step{
 			{"stop a host", 0.3, r.removeHost},
 			{"read its log", 0.5, func() error {
-				if !leaving.logged("requests finished", "handed_over=", "->") || !leaving.logged("event=stopped") {
+				if !leaving.logged("event=requests_finished", "handed_over=", "->") || !leaving.logged("event=stopped") {
 					return errors.New("the log does not say what was handed to whom")
 				}
 				return nil
--- a/internal/dispatch/handover.go
+++ b/internal/dispatch/handover.go
@@ -182,7 +182,7 @@
 		b.until = d.options.Now().Add(d.limits.TicketLife + d.limits.KeepResults)
 		d.books[id] = b
 		d.options.Logger.Info().Str("issuer", string(args.Transfer.Issuer)).
-			Str("incarnation", fmt.Sprintf("%x", uint64(id))).Msg("ticket ledger taken over")
+			Str("incarnation", fmt.Sprintf("%x", uint64(id))).Msg("ticket_ledger_taken_over")
 		delete(d.incoming, id)
 		delete(d.begun, id)
 	}
--- a/internal/dispatch/once.go
+++ b/internal/dispatch/once.go
@@ -34,7 +34,7 @@
 	result = d.runOnce(ctx, t, j)
 	if result.Outcome == admission.Unknown {
 		d.options.Logger.Warn().Uint32("service", uint32(j.service)).Str("upstream", result.Upstream).
-			Str("reason", string(result.Reason)).Uint64("sequence", t.Sequence).Msg("outcome unknown")
+			Str("reason", string(result.Reason)).Uint64("sequence", t.Sequence).Msg("outcome_unknown")
 	}
 	return result
 }
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -59,7 +59,7 @@
 		return nil, fmt.Errorf("listen for packets on %s, which must be a free UDP address of this host: %w", options.Listen, err)
 	}
 	if err := conn.SetReadBuffer(socketBuffer); err != nil {
-		options.Logger.Warn().Err(err).Int("bytes", socketBuffer).Msg("receive-buffer-not-set")
+		options.Logger.Warn().Err(err).Int("bytes", socketBuffer).Msg("receive_buffer_not_set")
 	}
 	f := &Forwarder{
 		options: options,
@@ -182,7 +182,7 @@
 		case flow.Send:
 			f.senders.send(ctx, action.To, action.Message)
 		case flow.Left:
-			f.options.Logger.Info().Str("host", string(f.options.Self.ID)).Msg("flows-handed-over")
+			f.options.Logger.Info().Str("host", string(f.options.Self.ID)).Msg("flows_handed_over")
 			f.leftOnce.Do(func() { close(f.left) })
 		}
 	}
--- a/internal/forward/senders.go
+++ b/internal/forward/senders.go
@@ -70,7 +70,7 @@
 	defer cancel()
 	if err := s.peers.Call(ctx, to, deliverMethod, m, &Ack{}); err != nil {
 		s.metrics.messages.WithLabelValues("failed").Inc()
-		s.logger.Debug().Err(err).Str("host", string(to)).Uint8("kind", uint8(m.Kind)).Msg("flow-message-failed")
+		s.logger.Debug().Err(err).Str("host", string(to)).Uint8("kind", uint8(m.Kind)).Msg("flow_message_failed")
 		return
 	}
 	s.metrics.messages.WithLabelValues("sent").Inc()
--- a/internal/forward/worker.go
+++ b/internal/forward/worker.go
@@ -28,7 +28,7 @@
 			return
 		}
 		if err != nil {
-			f.options.Logger.Warn().Err(err).Msg("packet-receive-failed")
+			f.options.Logger.Warn().Err(err).Msg("packet_receive_failed")
 			continue
 		}
 		w.handle(w.buffer[:n], source)
--- a/internal/member/runner.go
+++ b/internal/member/runner.go
@@ -73,7 +73,7 @@
 			return nil
 		}
 		if err := r.node.Err(); err != nil {
-			r.options.Logger.Error().Err(err).Msg("membership stopped")
+			r.options.Logger.Error().Err(err).Msg("membership_stopped")
 			return err
 		}
 		r.step(ctx)
@@ -145,7 +145,7 @@
 			continue
 		}
 		r.options.Logger.Info().Stringer("host", member.Host).Str("data_centre", member.Host.DataCentre).
-			Stringer("state", member.State).Int("members", len(is.Members)).Msg("member changed")
+			Stringer("state", member.State).Int("members", len(is.Members)).Msg("member_changed")
 	}
 }
 
@@ -158,7 +158,7 @@
 		cancel()
 		if err != nil {
 			r.metrics.hintFailures.Inc()
-			r.options.Logger.Warn().Err(err).Msg("platform host list not read")
+			r.options.Logger.Warn().Err(err).Msg("platform_host_list_not_read")
 		} else if !r.post(func(now time.Time) { r.node.SetHints(now, hints) }) {
 			return
 		}
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -170,7 +170,7 @@
 	backoff := backoffAfter(l.failures)
 	l.nextDial = l.client.now().Add(backoff)
 	l.client.logger.Warn().Str("address", l.address.String()).Str("reason", string(kindOf(err))).
-		Int("failures", l.failures).Dur("backoff", backoff).Err(err).Msg("peer dial failed")
+		Int("failures", l.failures).Dur("backoff", backoff).Err(err).Msg("peer_dial_failed")
 }
 
 // backoffAfter returns the capped exponential pause after a number of failures,
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -110,7 +110,7 @@
 			break
 		}
 		if err != nil {
-			s.options.Logger.Warn().Err(err).Msg("peer accept failed")
+			s.options.Logger.Warn().Err(err).Msg("peer_accept_failed")
 			pause(ctx, acceptPause)
 			continue
 		}
@@ -188,7 +188,7 @@
 	case <-timer.C:
 	}
 	s.mu.Lock()
-	s.options.Logger.Warn().Int("connections", len(s.codecs)).Msg("peer calls cut at the stop timeout")
+	s.options.Logger.Warn().Int("connections", len(s.codecs)).Msg("peer_calls_cut")
 	for codec := range s.codecs {
 		_ = codec.conn.Close()
 	}
@@ -201,5 +201,5 @@
 func (s *Server) refuse(conn net.Conn, err error) {
 	kind := kindOf(err)
 	s.metrics.refused.WithLabelValues(string(kind)).Inc()
-	s.options.Logger.Warn().Str("remote", conn.RemoteAddr().String()).Str("reason", string(kind)).Err(err).Msg("peer refused")
+	s.options.Logger.Warn().Str("remote", conn.RemoteAddr().String()).Str("reason", string(kind)).Err(err).Msg("peer_refused")
 }
--- a/internal/probe/runner.go
+++ b/internal/probe/runner.go
@@ -203,7 +203,7 @@
 	names := *r.names.Load()
 	for _, upstream := range changes {
 		r.options.Logger.Info().Str("service", names[upstream.Service]).Str("upstream", upstream.Name).
-			Stringer("state", upstream.State).Str("reason", upstream.Reason).Msg("upstream changed")
+			Stringer("state", upstream.State).Str("reason", upstream.Reason).Msg("upstream_changed")
 	}
 }
 
