--- a/internal/daemon/build.go
+++ b/internal/daemon/build.go
@@ -62,6 +62,9 @@
 		if err != nil {
 			return fmt.Errorf("settings:tls: %w", err)
 		}
+		if err := checkIdentity(keys.Identity(), d.self); err != nil {
+			return err
+		}
 		d.keys = keys
 	}
 	server, err := peer.NewServer(peer.ServerOptions{
@@ -78,6 +81,16 @@
 	return nil
 }
 
+// checkIdentity refuses keys that name another host or data centre than the settings.
+func checkIdentity(identity peer.Identity, self host.Host) error {
+	want := peer.Identity{Host: self.ID, DataCentre: self.DataCentre}
+	if identity != want {
+		return fmt.Errorf("settings:tls.certificate: the certificate is for %s, use one for %s or correct host.id and host.data_centre",
+			identity.URI(), want.URI())
+	}
+	return nil
+}
+
 func (d *Daemon) buildPlatform() error {
 	s := &d.options.Settings.Platform
 	port, err := platform.NewHTTP(platform.Options{
--- a/internal/daemon/daemon_test.go
+++ b/internal/daemon/daemon_test.go
@@ -176,6 +176,16 @@
 		Eventually(func() string { return only.Status().NotReady }, reachTimeout).Should(ContainSubstring("bring the platform back"))
 	})
 
+	It("refuses keys of another host or data centre than the settings", func() {
+		s := hostSettings("one", server.URL(), issue(newAuthority(), "two"))
+		_, err := daemon.New(daemon.Options{Settings: s, Logger: zerolog.Nop(), Now: time.Now})
+		Expect(err).To(MatchError(ContainSubstring("settings:tls.certificate")))
+		s = hostSettings("one", server.URL(), issue(newAuthority(), "one"))
+		s.Host.DataCentre = "tanger-quay"
+		_, err = daemon.New(daemon.Options{Settings: s, Logger: zerolog.Nop(), Now: time.Now})
+		Expect(err).To(MatchError(ContainSubstring("oatlatch://tanger-quay/one")))
+	})
+
 	It("names the setting when an address is taken", func() {
 		s := hostSettings("one", server.URL(), settings.TLS{})
 		s.Listen.Request = server.Addr()
