--- a/internal/admission/scheduler_test.go
+++ b/internal/admission/scheduler_test.go
@@ -1,20 +1,18 @@
 package admission
 
 import (
-	"flag"
 	"math/rand/v2"
 	"os"
 	"testing"
 	"time"
 
 	"pgregory.net/rapid"
+
+	"github.com/oatlatch/oatlatch/internal/standin/fixed"
 )
 
 func TestMain(m *testing.M) {
-	flag.Parse()
-	_ = flag.Set("rapid.seed", "5")
-	_ = flag.Set("rapid.checks", "300")
-	_ = flag.Set("rapid.nofailfile", "true")
+	fixed.Apply(fixed.Options{Seed: 5, Checks: 300})
 	os.Exit(m.Run())
 }
 
--- a/internal/daemon/daemon_test.go
+++ b/internal/daemon/daemon_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"net/netip"
+	"os"
 	"sync"
 	"testing"
 	"time"
@@ -20,14 +21,18 @@
 	"github.com/oatlatch/oatlatch/internal/publisher"
 	"github.com/oatlatch/oatlatch/internal/service"
 	"github.com/oatlatch/oatlatch/internal/settings"
+	"github.com/oatlatch/oatlatch/internal/standin/fixed"
 	"github.com/oatlatch/oatlatch/internal/standin/platform"
 )
 
+func TestMain(m *testing.M) {
+	fixed.Apply(fixed.Options{})
+	os.Exit(m.Run())
+}
+
 func TestDaemon(t *testing.T) {
 	RegisterFailHandler(Fail)
-	suite, reporter := GinkgoConfiguration()
-	suite.RandomSeed = 1
-	RunSpecs(t, "Daemon", suite, reporter)
+	RunSpecs(t, "Daemon")
 }
 
 // reachTimeout is how long a state may take to be reached before a spec fails.
--- a/internal/flow/state_test.go
+++ b/internal/flow/state_test.go
@@ -1,7 +1,6 @@
 package flow_test
 
 import (
-	"flag"
 	"maps"
 	"os"
 	"slices"
@@ -12,18 +11,12 @@
 
 	"github.com/oatlatch/oatlatch/internal/flow"
 	"github.com/oatlatch/oatlatch/internal/service"
+
+	"github.com/oatlatch/oatlatch/internal/standin/fixed"
 )
 
 func TestMain(m *testing.M) {
-	flag.Parse()
-	fixed := map[string]string{"rapid.seed": "20261203", "rapid.nofailfile": "true", "rapid.shrinktime": "5s"}
-	set := make(map[string]bool)
-	flag.Visit(func(f *flag.Flag) { set[f.Name] = true })
-	for name, value := range fixed {
-		if !set[name] {
-			_ = flag.Set(name, value)
-		}
-	}
+	fixed.Apply(fixed.Options{Seed: 20261203})
 	os.Exit(m.Run())
 }
 
--- a/internal/limit/limit_test.go
+++ b/internal/limit/limit_test.go
@@ -1,7 +1,6 @@
 package limit
 
 import (
-	"flag"
 	"fmt"
 	"os"
 	"testing"
@@ -10,13 +9,12 @@
 	"pgregory.net/rapid"
 
 	"github.com/oatlatch/oatlatch/internal/host"
+
+	"github.com/oatlatch/oatlatch/internal/standin/fixed"
 )
 
 func TestMain(m *testing.M) {
-	flag.Parse()
-	_ = flag.Set("rapid.seed", "5")
-	_ = flag.Set("rapid.checks", "400")
-	_ = flag.Set("rapid.nofailfile", "true")
+	fixed.Apply(fixed.Options{Seed: 5, Checks: 400})
 	os.Exit(m.Run())
 }
 
--- a/internal/membership/main_test.go
+++ b/internal/membership/main_test.go
@@ -1,17 +1,14 @@
 package membership
 
 import (
-	"flag"
 	"testing"
 
 	"go.uber.org/goleak"
+
+	"github.com/oatlatch/oatlatch/internal/standin/fixed"
 )
 
 func TestMain(m *testing.M) {
-	for name, value := range map[string]string{"rapid.seed": "20261203", "rapid.nofailfile": "true", "rapid.checks": "1000", "rapid.steps": "40"} {
-		if err := flag.Set(name, value); err != nil {
-			panic(err)
-		}
-	}
+	fixed.Apply(fixed.Options{Seed: 20261203, Checks: 1000, Steps: 40})
 	goleak.VerifyTestMain(m)
 }
--- a/internal/peer/main_test.go
+++ b/internal/peer/main_test.go
@@ -8,9 +8,12 @@
 	"github.com/prometheus/client_golang/prometheus"
 	dto "github.com/prometheus/client_model/go"
 	"go.uber.org/goleak"
+
+	"github.com/oatlatch/oatlatch/internal/standin/fixed"
 )
 
 func TestMain(m *testing.M) {
+	fixed.Apply(fixed.Options{})
 	goleak.VerifyTestMain(m, goleak.IgnoreAnyFunction(
 		"github.com/onsi/ginkgo/v2/internal/interrupt_handler.(*InterruptHandler).registerForInterrupts.func2"))
 }
--- a/internal/probe/runner_test.go
+++ b/internal/probe/runner_test.go
@@ -19,9 +19,12 @@
 	"github.com/oatlatch/oatlatch/internal/config"
 	"github.com/oatlatch/oatlatch/internal/health"
 	"github.com/oatlatch/oatlatch/internal/service"
+
+	"github.com/oatlatch/oatlatch/internal/standin/fixed"
 )
 
 func TestMain(m *testing.M) {
+	fixed.Apply(fixed.Options{})
 	goleak.VerifyTestMain(m, goleak.IgnoreAnyFunction(
 		"github.com/onsi/ginkgo/v2/internal/interrupt_handler.(*InterruptHandler).registerForInterrupts.func2"))
 }
