--- a/cmd/oatlatch/standin.go
+++ b/cmd/oatlatch/standin.go
@@ -14,6 +14,7 @@
 // standinCommand runs one stand-in until it is stopped.
 type standinCommand struct {
 	Platform standinPlatformCommand `cmd:"" help:"Run a key-value service that keeps its data in memory."`
+	Keys     standinKeysCommand     `cmd:"" help:"Write keys for mutual TLS, signed by a throw-away authority."`
 	Upstream standinUpstreamCommand `cmd:"" help:"Run an upstream that answers requests and counts packets."`
 }
 
--- a/internal/forward/cluster_test.go
+++ b/internal/forward/cluster_test.go
@@ -12,8 +12,6 @@
 	"github.com/gopacket/gopacket"
 	"github.com/gopacket/gopacket/layers"
 	"github.com/onsi/gomega"
-	"github.com/prometheus/client_golang/prometheus"
-	"github.com/rs/zerolog"
 
 	"github.com/oatlatch/oatlatch/internal/flow"
 	"github.com/oatlatch/oatlatch/internal/forward"
@@ -52,27 +50,13 @@
 	var pair [2]*forward.Forwarder
 	var view membership.View
 	for i, id := range []host.ID{"akl-a/entry-1", "ham-a/entry-1"} {
-		f, err := forward.New(forward.Options{
-			Self: host.Host{ID: id, DataCentre: string(id[:5])}, Listen: loopback, Peers: end{w, id},
-			Logger: zerolog.Nop(), Registerer: prometheus.NewRegistry(),
-		})
-		if err != nil {
-			t.Fatal(err)
-		}
-		ctx, cancel := context.WithCancel(context.Background())
-		done := make(chan error, 1)
-		go func() { done <- f.Run(ctx) }()
-		t.Cleanup(func() {
-			cancel()
-			if err := <-done; err != nil {
-				t.Error(err)
-			}
-		})
+		self := host.Host{ID: id, DataCentre: string(id[:5])}
+		f := start(t, self, end{w, id})
 		w.mu.Lock()
 		w.services[id] = f.PeerService
 		w.mu.Unlock()
 		pair[i] = f
-		self := host.Host{ID: id, DataCentre: string(id[:5]), PacketAddress: f.Addr()}
+		self.PacketAddress = f.Addr()
 		view.Members = append(view.Members, membership.Member{Host: self, State: membership.Live})
 	}
 	for _, f := range pair {
--- a/internal/forward/forwarder_test.go
+++ b/internal/forward/forwarder_test.go
@@ -19,6 +19,7 @@
 	"github.com/oatlatch/oatlatch/internal/forward"
 	"github.com/oatlatch/oatlatch/internal/host"
 	"github.com/oatlatch/oatlatch/internal/membership"
+	"github.com/oatlatch/oatlatch/internal/peer"
 	"github.com/oatlatch/oatlatch/internal/service"
 )
 
@@ -64,10 +65,11 @@
 	}
 }
 
-func start(t testing.TB, id host.ID) *forward.Forwarder {
+// start runs a forwarder until the test ends.
+func start(t testing.TB, self host.Host, peers peer.Caller) *forward.Forwarder {
 	t.Helper()
 	f, err := forward.New(forward.Options{
-		Self: host.Host{ID: id, DataCentre: "casa-quay"}, Listen: loopback,
+		Self: self, Listen: loopback, Peers: peers,
 		Logger: zerolog.Nop(), Registerer: prometheus.NewRegistry(),
 	})
 	if err != nil {
@@ -85,14 +87,22 @@
 	return f
 }
 
+// startAlone runs a forwarder without peers that serves one upstream.
+func startAlone(t testing.TB, upstream netip.AddrPort) *forward.Forwarder {
+	t.Helper()
+	self := host.Host{ID: "casa-quay/entry-1", DataCentre: "casa-quay"}
+	f := start(t, self, nil)
+	f.SetMembers(membership.View{Members: []membership.Member{{Host: self, State: membership.Live}}})
+	f.Adopt(snapshot(1, service.Upstream{Name: "desk-1", PacketAddress: upstream, Weight: 1, State: service.AdminActive}))
+	gomega.NewWithT(t).Eventually(func() bool { s := f.Status(); return len(s.Services) == 1 && s.Services[0].Ready }).Should(gomega.BeTrue())
+	return f
+}
+
 func TestForwarderDeliversWithTheServiceIdentity(t *testing.T) {
 	t.Cleanup(func() { goleak.VerifyNone(t) })
 	g := gomega.NewWithT(t)
 	upstream, caller := listen(t), listen(t)
-	f := start(t, "casa-quay/entry-1")
-	f.SetMembers(membership.View{Members: []membership.Member{{Host: host.Host{ID: "casa-quay/entry-1"}, State: membership.Live}}})
-	f.Adopt(snapshot(1, service.Upstream{Name: "desk-1", PacketAddress: addressOf(upstream), Weight: 1, State: service.AdminActive}))
-	g.Eventually(func() bool { s := f.Status(); return len(s.Services) == 1 && s.Services[0].Ready }).Should(gomega.BeTrue())
+	f := startAlone(t, addressOf(upstream))
 
 	_, err := caller.WriteToUDPAddrPort(syn(t, 4711, deskAddress), f.Addr())
 	g.Expect(err).NotTo(gomega.HaveOccurred())
--- a/internal/forward/slope_test.go
+++ b/internal/forward/slope_test.go
@@ -4,12 +4,6 @@
 	"fmt"
 	"testing"
 	"time"
-
-	"github.com/onsi/gomega"
-
-	"github.com/oatlatch/oatlatch/internal/host"
-	"github.com/oatlatch/oatlatch/internal/membership"
-	"github.com/oatlatch/oatlatch/internal/service"
 )
 
 // window is how many packets are under way at once: few enough that no socket
@@ -25,12 +19,8 @@
 }
 
 func forwardPackets(b *testing.B, flows int) {
-	g := gomega.NewWithT(b)
 	upstream, caller := listen(b), listen(b)
-	f := start(b, "casa-quay/entry-1")
-	f.SetMembers(membership.View{Members: []membership.Member{{Host: host.Host{ID: "casa-quay/entry-1"}, State: membership.Live}}})
-	f.Adopt(snapshot(1, service.Upstream{Name: "desk-1", PacketAddress: addressOf(upstream), Weight: 1, State: service.AdminActive}))
-	g.Eventually(func() bool { s := f.Status(); return len(s.Services) == 1 && s.Services[0].Ready }).Should(gomega.BeTrue())
+	f := startAlone(b, addressOf(upstream))
 	packets := make([][]byte, flows)
 	for i := range packets {
 		packets[i] = append([]byte(nil), syn(b, uint16(1024+i), deskAddress)...)
--- a/internal/standin/authority/authority.go
+++ b/internal/standin/authority/authority.go
@@ -1,5 +1,6 @@
 // Package authority is a stand-in for the certificate authority that signs the
-// certificates of entry hosts. It serves tests.
+// certificates of entry hosts. It serves tests
+// and trials.
 package authority
 
 import (
--- a/oatlatch.go
+++ b/oatlatch.go
@@ -9,6 +9,7 @@
 
 	"github.com/oatlatch/oatlatch/internal/collect"
 	"github.com/oatlatch/oatlatch/internal/daemon"
+	"github.com/oatlatch/oatlatch/internal/flow"
 	"github.com/oatlatch/oatlatch/internal/inifile"
 	"github.com/oatlatch/oatlatch/internal/platform"
 	"github.com/oatlatch/oatlatch/internal/publish"
@@ -36,6 +37,9 @@
 // HostStatus is what an entry host tells operators.
 type HostStatus = daemon.Status
 
+// FlowExplanation says step by step which upstream a flow goes to, and why.
+type FlowExplanation = flow.Explanation
+
 // PlatformOptions say how to reach the platform's key-value service.
 type PlatformOptions = platform.Options
 
