--- a/internal/dispatch/bench_test.go
+++ b/internal/dispatch/bench_test.go
@@ -188,13 +188,19 @@
 	b.ReportMetric(float64(peak), "peak-at-upstream")
 }
 
-// BenchmarkSetUpstreams measures a new health view at the size that the project
-// builds towards: 1,200 services, 3,300 upstreams and 60 hosts.
-func BenchmarkSetUpstreams(b *testing.B) {
+// BenchmarkSlopeUpstreams measures a new health view by the number of services,
+// of 2.5 upstreams each, with 60 hosts.
+func BenchmarkSlopeUpstreams(b *testing.B) {
+	for _, services := range []int{300, 600, 1200} {
+		b.Run(fmt.Sprintf("services=%d", services), func(b *testing.B) { measureUpstreams(b, services) })
+	}
+}
+
+func measureUpstreams(b *testing.B, services int) {
 	d := dispatch.New(dispatch.Options{Self: host.Host{ID: "entry-00", Incarnation: 1}, Logger: zerolog.Nop(), Now: time.Now})
 	snapshot := &config.Snapshot{Manifest: config.Manifest{Version: 1}}
 	var view health.View
-	for id := range 1200 {
+	for id := range services {
 		s := service.Service{Name: fmt.Sprintf("service-%d", id), ID: service.ID(id), RequestHost: fmt.Sprintf("s%d.test", id)}
 		for n := range 2 + id%4/2*3/2 {
 			u := service.Upstream{Name: fmt.Sprintf("target-%d", n), Slots: 3, Weight: 1, State: service.AdminActive}
--- a/internal/publisher/publisher_test.go
+++ b/internal/publisher/publisher_test.go
@@ -25,7 +25,7 @@
 		Address:  netip.AddrPortFrom(netip.AddrFrom4([4]byte{198, 51, byte(number >> 8), byte(number)}), 443),
 		Protocol: service.TCP,
 		Upstreams: []service.Upstream{{
-			Name: "one", DataCentre: "akl-a", Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{192, 0, 2, byte(number)}), 80),
+			Name: "one", DataCentre: "akl-a", Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{192, 0, byte(2 + number>>8), byte(number)}), 80),
 			PacketAddress: netip.MustParseAddrPort("192.0.2.1:6081"), Weight: 1, Slots: 2, Connections: 2000,
 		}},
 	}
--- /dev/null
+++ b/internal/publisher/slope_test.go
@@ -0,0 +1,41 @@
+package publisher_test
+
+import (
+	"context"
+	"fmt"
+	"testing"
+
+	"github.com/oatlatch/oatlatch/internal/platform/fake"
+	"github.com/oatlatch/oatlatch/internal/publisher"
+	"github.com/oatlatch/oatlatch/internal/service"
+)
+
+// BenchmarkSlopePublish counts the platform calls of publishing one changed
+// service by the number of services.
+func BenchmarkSlopePublish(b *testing.B) {
+	for _, number := range []int{300, 600, 1200} {
+		b.Run(fmt.Sprintf("services=%d", number), func(b *testing.B) {
+			port := fake.NewPort(fake.NewStore())
+			services := make([]service.Service, number)
+			for i := range services {
+				services[i] = svc(fmt.Sprintf("service-%d", i), i+1)
+			}
+			publishOnce(b, port, services)
+			before := port.Calls()
+			for b.Loop() {
+				services[0].DrainLimit++
+				publishOnce(b, port, services)
+			}
+			calls := port.Calls().Sub(before)
+			b.ReportMetric(float64(calls.Reads())/float64(b.N), "reads/publication")
+			b.ReportMetric(float64(calls.Writes)/float64(b.N), "writes/publication")
+		})
+	}
+}
+
+func publishOnce(b *testing.B, port *fake.Port, services []service.Service) {
+	b.Helper()
+	if _, err := publisher.Publish(context.Background(), port, publisher.Options{Operator: "slope"}, services); err != nil {
+		b.Fatal(err)
+	}
+}
--- a/internal/ticket/bench_test.go
+++ b/internal/ticket/bench_test.go
@@ -1,6 +1,7 @@
 package ticket
 
 import (
+	"fmt"
 	"runtime"
 	"testing"
 	"time"
@@ -8,24 +9,33 @@
 	"github.com/oatlatch/oatlatch/internal/admission"
 )
 
-// BenchmarkLedger measures issuing, presenting and finishing a ticket, and the
-// memory of what is kept of it.
-func BenchmarkLedger(b *testing.B) {
+// BenchmarkSlopeLedger measures issuing, presenting and finishing a ticket while
+// the given number of results is kept, and the memory of each.
+func BenchmarkSlopeLedger(b *testing.B) {
+	for _, kept := range []int{1000, 5000, 20_000} {
+		b.Run(fmt.Sprintf("kept=%d", kept), func(b *testing.B) { measureLedger(b, kept) })
+	}
+}
+
+func measureLedger(b *testing.B, kept int) {
 	var before, after runtime.MemStats
 	runtime.GC()
 	runtime.ReadMemStats(&before)
-	l := NewLedger(Options{Life: time.Hour, Keep: time.Hour, MaxRecords: 1 << 30, MaxBytes: 1 << 40, MaxWords: 1 << 20})
-	result := Result{Outcome: admission.Answered, Reason: admission.ReasonOK, Status: 200}
-	b.ResetTimer()
-	for range b.N {
+	l := NewLedger(Options{Life: time.Hour, Keep: time.Hour, MaxRecords: kept, MaxBytes: 1 << 40, MaxWords: 1 << 16})
+	once := func() {
 		ticket := l.Issue(start, 7)
 		l.Begin(start, ticket, 7, Digest{1})
-		l.Finish(start, ticket.Sequence, result)
+		l.Finish(start, ticket.Sequence, Result{Outcome: admission.Answered, Reason: admission.ReasonOK, Status: 200})
+	}
+	for range kept {
+		once()
 	}
-	b.StopTimer()
 	runtime.GC()
 	runtime.ReadMemStats(&after)
-	b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/float64(b.N), "bytes/result")
+	for b.Loop() {
+		once()
+	}
+	b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/float64(kept), "bytes/result")
 	runtime.KeepAlive(l)
 }
 
