Steer flows by connections in use, not by request load

Cause: four daemons in a steady state without any change had an imbalance of 2.00 on berth-desk (78 to 333 flows an upstream), worse than a plain hash; the flow core alone, fed with true flow counts, has 1.04. Two faults: the stand-in wrote its capacity where the report has the connections in use, and the flow engine took the load, in which one request is a third of the slots, for a fraction of the connections. Ruled out: the choice itself (its own test holds) and the churn of the demo (the run had no changes). Change: health keeps the believed fraction of connections beside the load and the flow engine uses it; the stand-in answers with health.Report itself and counts open flows, so that the two cannot drift apart.

--- a/internal/flow/estimate.go
+++ b/internal/flow/estimate.go
@@ -169,10 +169,10 @@
 	for _, u := range en.configured.Upstreams {
 		ref := t.find(u.PacketAddress)
 		h, ok := en.health[u.Name]
-		if ref == noUpstream || !ok || h.Load <= 0 || now.Sub(h.LoadAt) > reportLifetime || l.upstreams[ref].estimate == 0 {
+		if ref == noUpstream || !ok || h.FlowLoad <= 0 || now.Sub(h.LoadAt) > reportLifetime || l.upstreams[ref].estimate == 0 {
 			continue
 		}
-		claims[ref] = h.Load * float64(u.Connections) / float64(max(u.Weight, 1))
+		claims[ref] = h.FlowLoad * float64(u.Connections) / float64(max(u.Weight, 1))
 	}
 	return claims
 }
--- a/internal/flow/workload_test.go
+++ b/internal/flow/workload_test.go
@@ -166,7 +166,7 @@
 				load /= 10
 			}
 			v.Upstreams = append(v.Upstreams, health.Upstream{
-				Service: d.ID, Name: u.Name, State: health.Up, Load: load, LoadAt: w.now.Add(-reportLag), Ramp: 1,
+				Service: d.ID, Name: u.Name, State: health.Up, Load: load, FlowLoad: load, LoadAt: w.now.Add(-reportLag), Ramp: 1,
 			})
 		}
 	}
--- a/internal/health/check.go
+++ b/internal/health/check.go
@@ -37,8 +37,10 @@
 // Report is what an upstream says of its load.
 type Report struct {
 	// Load is the fraction of capacity in use.
-	Load        float64 `json:"load"`
-	SlotsInUse  uint32  `json:"slots_in_use"`
-	Connections uint32  `json:"connections"`
-	Draining    bool    `json:"draining"`
+	Load float64 `json:"load"`
+	// SlotsInUse counts the requests that run.
+	SlotsInUse uint32 `json:"slots_in_use"`
+	// Connections counts the open flows; zero if the upstream does not count them.
+	Connections uint32 `json:"connections"`
+	Draining    bool   `json:"draining"`
 }
--- a/internal/health/load.go
+++ b/internal/health/load.go
@@ -46,7 +46,9 @@
 // loadTracker decides what to believe of one upstream's load reports.
 type loadTracker struct {
 	recent []float64
-	last   Report
+	// flows are the fractions of connections in use of the same reports.
+	flows []float64
+	last  Report
 	// equal is the number of reports that were the same as the one before.
 	equal int
 	// changes counts reports that differed from the one before.
@@ -74,10 +76,19 @@
 		l.doubt = DoubtInconsistent
 		load = max(load, min(counted, maxLoad))
 	}
-	if len(l.recent) == medianWindow {
-		l.recent = l.recent[1:]
+	flows := load
+	if report.Connections > 0 {
+		flows = min(fraction(report.Connections, upstream.Connections), maxLoad)
 	}
-	l.recent = append(l.recent, load)
+	l.recent, l.flows = appendRecent(l.recent, load), appendRecent(l.flows, flows)
+}
+
+// appendRecent keeps the last reports of which the median is believed.
+func appendRecent(recent []float64, value float64) []float64 {
+	if len(recent) == medianWindow {
+		recent = recent[1:]
+	}
+	return append(recent, value)
 }
 
 // fraction returns used of capacity.
@@ -103,6 +114,15 @@
 	}
 }
 
+// believedFlows returns the fraction of connections to act on under the doubt
+// about the load.
+func (l *loadTracker) believedFlows(load float64) float64 {
+	if load == noLoad {
+		return noLoad
+	}
+	return median(l.flows)
+}
+
 // median returns the middle value, the higher one of two.
 func median(values []float64) float64 {
 	sorted := slices.Clone(values)
--- a/internal/health/tracker.go
+++ b/internal/health/tracker.go
@@ -143,6 +143,7 @@
 	t.shown.Service, t.shown.Name = t.key.Service, t.key.Name
 	t.shown.State, t.shown.Reason = state, reason
 	t.shown.Load, t.shown.LoadDoubt = t.load.believed(now, othersChanged)
+	t.shown.FlowLoad = t.load.believedFlows(t.shown.Load)
 	t.shown.LoadAt = t.load.at
 	t.shown.Ramp = 1
 	if state == Joining {
--- a/internal/health/tracker_test.go
+++ b/internal/health/tracker_test.go
@@ -267,3 +267,18 @@
 		t.Fatalf("doubt %q of a changing report", u.LoadDoubt)
 	}
 }
+
+func TestFlowLoadFollowsConnectionsNotRequests(t *testing.T) {
+	d := newDesk(t, 2)
+	connections := testUpstream(0).Connections
+	for range medianWindow {
+		d.check(0, Passed, &Report{Load: 0.75, SlotsInUse: 3, Connections: connections / 4})
+		d.check(1, Passed, &Report{Load: 0.5})
+	}
+	if u := d.shown(0); u.Load != 0.75 || u.FlowLoad != 0.25 {
+		t.Errorf("load %v and flow load %v, want 0.75 and 0.25", u.Load, u.FlowLoad)
+	}
+	if u := d.shown(1); u.FlowLoad != 0.5 {
+		t.Errorf("flow load %v without connections, want the load, 0.5", u.FlowLoad)
+	}
+}
--- a/internal/health/view.go
+++ b/internal/health/view.go
@@ -35,6 +35,9 @@
 	Reason string
 	// Load is the last believable load report as a fraction of capacity; negative when there is none.
 	Load float64
+	// FlowLoad is the believable fraction of the upstream's connections in use. It
+	// equals Load when the upstream reports none, and is negative when there is no report.
+	FlowLoad float64
 	// LoadAt is when Load was received.
 	LoadAt time.Time
 	// LoadDoubt says why the last load report was not believed as it was, or is empty.
--- a/internal/standin/upstream/handler.go
+++ b/internal/standin/upstream/handler.go
@@ -10,6 +10,8 @@
 	"net/http"
 	"strconv"
 	"time"
+
+	"github.com/oatlatch/oatlatch/internal/health"
 )
 
 // Limits of the stand-in.
@@ -18,17 +20,6 @@
 	maxAnswerBytes = 64 << 20
 )
 
-// LoadReport is the body of a load report.
-type LoadReport struct {
-	// Load is the fraction of the slots in use, above 1 when requests wait.
-	Load        float64 `json:"load"`
-	Slots       uint32  `json:"slots"`
-	InUse       int     `json:"in_use"`
-	Connections uint32  `json:"connections"`
-	Flows       int     `json:"flows"`
-	Draining    bool    `json:"draining"`
-}
-
 func (u *Upstream) serve(w http.ResponseWriter, r *http.Request) {
 	switch r.URL.Path {
 	case u.options.LoadPath:
@@ -42,12 +33,10 @@
 
 func (u *Upstream) serveLoad(w http.ResponseWriter) {
 	u.mu.Lock()
-	report := LoadReport{
+	report := health.Report{
 		Load:        float64(u.present) / float64(u.options.Upstream.Slots),
-		Slots:       u.options.Upstream.Slots,
-		InUse:       len(u.slots),
-		Connections: u.options.Upstream.Connections,
-		Flows:       len(u.flows),
+		SlotsInUse:  uint32(len(u.slots)),
+		Connections: uint32(u.open),
 		Draining:    u.draining,
 	}
 	if u.faults.HasFalseLoad {
--- a/internal/standin/upstream/packets.go
+++ b/internal/standin/upstream/packets.go
@@ -35,8 +35,10 @@
 	Packets uint64
 	// Opening counts those of the packets that open a TCP flow (SYN).
 	Opening uint64
-	First   time.Time
-	Last    time.Time
+	// Ended is set by a packet that ends a TCP flow (FIN or RST).
+	Ended bool
+	First time.Time
+	Last  time.Time
 }
 
 // Flows returns the flows seen so far, in no particular order.
@@ -87,7 +89,7 @@
 }
 
 func (u *Upstream) count(datagram []byte) {
-	vni, flow, opening, ok := decodePacket(datagram)
+	p, ok := decodePacket(datagram)
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	if !ok {
@@ -95,50 +97,64 @@
 		return
 	}
 	u.received++
-	if u.service != 0 && service.ID(vni) != u.service {
+	if u.service != 0 && service.ID(p.vni) != u.service {
 		u.misplaced++
 	}
-	key := flowKey{flow: flow, vni: vni}
+	key := flowKey{flow: p.flow, vni: p.vni}
 	count := u.flows[key]
 	if count == nil {
-		count = &FlowCount{Flow: flow, VNI: vni, First: u.options.Now()}
+		count = &FlowCount{Flow: p.flow, VNI: p.vni, First: u.options.Now()}
 		u.flows[key] = count
+		u.open++
 	}
 	count.Packets++
-	if opening {
+	if p.opening {
 		count.Opening++
 	}
+	if p.ending && !count.Ended {
+		count.Ended = true
+		u.open--
+	}
 	count.Last = u.options.Now()
 	if u.options.OnPacket != nil {
-		u.options.OnPacket(flow)
+		u.options.OnPacket(p.flow)
 	}
 }
 
-// decodePacket returns the network identifier and inner flow of a datagram, and
-// whether the inner packet opens the flow.
-func decodePacket(datagram []byte) (vni uint32, flow Flow, opening, ok bool) {
+// innerPacket is what the stand-in reads of a datagram.
+type innerPacket struct {
+	vni  uint32
+	flow Flow
+	// opening and ending are set on TCP packets that open or end the flow.
+	opening, ending bool
+}
+
+// decodePacket reads a datagram; ok is false when it holds no encapsulated flow.
+func decodePacket(datagram []byte) (p innerPacket, ok bool) {
 	packet := gopacket.NewPacket(datagram, layers.LayerTypeGeneve, gopacket.DecodeOptions{NoCopy: true})
 	geneve, found := packet.Layer(layers.LayerTypeGeneve).(*layers.Geneve)
 	if !found {
-		return 0, Flow{}, false, false
+		return innerPacket{}, false
 	}
 	source, destination, found := addresses(packet)
 	if !found {
-		return 0, Flow{}, false, false
+		return innerPacket{}, false
 	}
 	var from, to uint16
 	switch transport := packet.TransportLayer().(type) {
 	case *layers.TCP:
-		flow.Protocol, from, to = service.TCP, uint16(transport.SrcPort), uint16(transport.DstPort)
-		opening = transport.SYN && !transport.ACK
+		p.flow.Protocol, from, to = service.TCP, uint16(transport.SrcPort), uint16(transport.DstPort)
+		p.opening = transport.SYN && !transport.ACK
+		p.ending = transport.FIN || transport.RST
 	case *layers.UDP:
-		flow.Protocol, from, to = service.UDP, uint16(transport.SrcPort), uint16(transport.DstPort)
+		p.flow.Protocol, from, to = service.UDP, uint16(transport.SrcPort), uint16(transport.DstPort)
 	default:
-		return 0, Flow{}, false, false
+		return innerPacket{}, false
 	}
-	flow.Source = netip.AddrPortFrom(source, from)
-	flow.Destination = netip.AddrPortFrom(destination, to)
-	return geneve.VNI, flow, opening, true
+	p.flow.Source = netip.AddrPortFrom(source, from)
+	p.flow.Destination = netip.AddrPortFrom(destination, to)
+	p.vni = geneve.VNI
+	return p, true
 }
 
 func addresses(packet gopacket.Packet) (source, destination netip.Addr, ok bool) {
--- a/internal/standin/upstream/upstream.go
+++ b/internal/standin/upstream/upstream.go
@@ -25,15 +25,17 @@
 	slots   chan struct{}
 	started time.Time
 
-	mu        sync.Mutex
-	service   service.ID
-	faults    Faults
-	draining  bool
-	present   int
-	peak      int
-	shed      int
-	runs      []*Run
-	flows     map[flowKey]*FlowCount
+	mu       sync.Mutex
+	service  service.ID
+	faults   Faults
+	draining bool
+	present  int
+	peak     int
+	shed     int
+	runs     []*Run
+	flows    map[flowKey]*FlowCount
+	// open counts the flows that have not ended.
+	open      int
 	received  uint64
 	misplaced uint64
 	malformed uint64
--- a/internal/standin/upstream/upstream_test.go
+++ b/internal/standin/upstream/upstream_test.go
@@ -12,6 +12,7 @@
 	"github.com/gopacket/gopacket/layers"
 	"github.com/onsi/gomega"
 
+	"github.com/oatlatch/oatlatch/internal/health"
 	"github.com/oatlatch/oatlatch/internal/service"
 )
 
@@ -71,6 +72,15 @@
 	if u.Misdelivered() != 1 || u.Malformed() != 1 || len(u.Flows()) != 3 {
 		t.Errorf("misdelivered %d, malformed %d, flows %+v", u.Misdelivered(), u.Malformed(), u.Flows())
 	}
+	resp, err := http.Get("http://" + u.HTTPAddr().String() + "/load")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	var report health.Report
+	if err := json.NewDecoder(resp.Body).Decode(&report); err != nil || report.Connections != 3 {
+		t.Errorf("load report %+v: %v", report, err)
+	}
 	for _, f := range u.Flows() {
 		want := uint64(1)
 		if f.VNI == 7 && f.Flow.Source == netip.MustParseAddrPort("198.51.100.1:1000") {
@@ -103,8 +113,8 @@
 	if get("/health").StatusCode != http.StatusServiceUnavailable {
 		t.Error("a draining upstream must fail its health check")
 	}
-	var report LoadReport
-	if err := json.NewDecoder(get("/load").Body).Decode(&report); err != nil || !report.Draining || report.Slots != 2 {
+	var report health.Report
+	if err := json.NewDecoder(get("/load").Body).Decode(&report); err != nil || report != (health.Report{Draining: true}) {
 		t.Errorf("load report %+v: %v", report, err)
 	}
 	if len(u.Runs()) != 1 || u.ShedCount() != 1 {
