Wait for a time or a context in one place

Cause: the same timer and select stood in six packages under four names. Change: internal/wait.For serves the platform client, dispatch, peers, the callers' client, the upstream stand-in and the demo. A duration that is not positive returns at once, as the stand-in's did. Measured: the suites of the six packages pass, assertions unchanged.

--- a/callers/client.go
+++ b/callers/client.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"errors"
+	"github.com/oatlatch/oatlatch/internal/wait"
 	"io"
 	"net/http"
 	"strconv"
@@ -168,14 +169,7 @@
 	if deadline, ok := ctx.Deadline(); ok && time.Until(deadline) < after {
 		return false
 	}
-	timer := time.NewTimer(after)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
+	return wait.For(ctx, after) == nil
 }
 
 // reasonTicketVoid says that no host may run the ticket any more. A request that
--- a/internal/demo/deployment.go
+++ b/internal/demo/deployment.go
@@ -17,6 +17,7 @@
 	"github.com/oatlatch/oatlatch/internal/standin/fabric"
 	"github.com/oatlatch/oatlatch/internal/standin/platform"
 	"github.com/oatlatch/oatlatch/internal/standin/upstream"
+	"github.com/oatlatch/oatlatch/internal/wait"
 )
 
 // errNotReady is returned when a host does not serve in time.
@@ -168,7 +169,7 @@
 			if time.Now().After(deadline) {
 				return fmt.Errorf("%s: %w", e.host.ID, errors.Join(errNotReady, err))
 			}
-			if err := pause(d.ctx, pollInterval); err != nil {
+			if err := wait.For(d.ctx, pollInterval); err != nil {
 				return err
 			}
 		}
@@ -185,14 +186,3 @@
 	}
 	return nil
 }
-
-func pause(ctx context.Context, duration time.Duration) error {
-	timer := time.NewTimer(duration)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-timer.C:
-		return nil
-	}
-}
--- a/internal/demo/entry.go
+++ b/internal/demo/entry.go
@@ -12,6 +12,7 @@
 	"github.com/oatlatch/oatlatch/internal/host"
 	client "github.com/oatlatch/oatlatch/internal/platform"
 	"github.com/oatlatch/oatlatch/internal/settings"
+	"github.com/oatlatch/oatlatch/internal/wait"
 )
 
 var anyPort = netip.MustParseAddrPort("127.0.0.1:0")
@@ -62,7 +63,7 @@
 func (d *deployment) removeHost() error {
 	leaving := d.takeOut(0)
 	leaving.Stop()
-	if err := pause(d.ctx, fabricLag); err != nil {
+	if err := wait.For(d.ctx, fabricLag); err != nil {
 		return err
 	}
 	d.updateFabric()
@@ -93,7 +94,7 @@
 		if time.Now().After(deadline) {
 			return host.Host{}, errors.Join(errNotReady, err)
 		}
-		if err := pause(d.ctx, pollInterval); err != nil {
+		if err := wait.For(d.ctx, pollInterval); err != nil {
 			return host.Host{}, err
 		}
 	}
--- a/internal/demo/failure_test.go
+++ b/internal/demo/failure_test.go
@@ -16,6 +16,7 @@
 	"github.com/oatlatch/oatlatch/internal/publisher"
 	"github.com/oatlatch/oatlatch/internal/service"
 	"github.com/oatlatch/oatlatch/internal/standin/platform"
+	"github.com/oatlatch/oatlatch/internal/wait"
 )
 
 // failureDuration is how long flows and requests run around a failure.
@@ -60,7 +61,7 @@
 // lose takes the first host out of callers' and the fabric's lists, as the
 // network does some time after a failure.
 func (r *run) lose() error {
-	if err := pause(r.ctx, fabricLag); err != nil {
+	if err := wait.For(r.ctx, fabricLag); err != nil {
 		return err
 	}
 	r.takeOut(0)
@@ -221,7 +222,7 @@
 
 func waitLogged(r *run, n *processNode, parts ...string) error {
 	for !n.logged(parts...) {
-		if err := pause(r.ctx, pollInterval); err != nil {
+		if err := wait.For(r.ctx, pollInterval); err != nil {
 			return err
 		}
 	}
--- a/internal/demo/observe.go
+++ b/internal/demo/observe.go
@@ -6,6 +6,7 @@
 	"github.com/oatlatch/oatlatch/callers"
 	"github.com/oatlatch/oatlatch/internal/service"
 	"github.com/oatlatch/oatlatch/internal/standin/fabric"
+	"github.com/oatlatch/oatlatch/internal/wait"
 )
 
 // sighting is one upstream at which packets of an open flow arrived. A stray
@@ -54,7 +55,7 @@
 			r.flows.send(f, fabric.Middle)
 			// Bursts that overflow socket buffers would count as broken flows.
 			if i%200 == 199 {
-				if err := pause(r.ctx, pollInterval); err != nil {
+				if err := wait.For(r.ctx, pollInterval); err != nil {
 					return 0, err
 				}
 			}
@@ -77,7 +78,7 @@
 func (r *run) waitForProbes(waiting []flowID, before map[flowID][]sighting) ([]flowID, error) {
 	deadline := time.Now().Add(settleTimeout)
 	for len(waiting) > 0 && time.Now().Before(deadline) {
-		if err := pause(r.ctx, pollInterval); err != nil {
+		if err := wait.For(r.ctx, pollInterval); err != nil {
 			return nil, err
 		}
 		after := r.sightings()
--- a/internal/demo/process_test.go
+++ b/internal/demo/process_test.go
@@ -20,6 +20,7 @@
 
 	"github.com/oatlatch/oatlatch/internal/daemon"
 	"github.com/oatlatch/oatlatch/internal/settings"
+	"github.com/oatlatch/oatlatch/internal/wait"
 )
 
 // binaryPath is the daemon built for the process tests.
@@ -149,7 +150,7 @@
 			return status
 		}
 		last = status
-		_ = pause(context.Background(), pollInterval)
+		_ = wait.For(context.Background(), pollInterval)
 	}
 	t.Fatalf("the host did not reach the state in time: %+v", last)
 	return last
--- a/internal/demo/requests.go
+++ b/internal/demo/requests.go
@@ -11,6 +11,7 @@
 	"github.com/oatlatch/oatlatch/callers"
 	"github.com/oatlatch/oatlatch/internal/service"
 	"github.com/oatlatch/oatlatch/internal/standin/upstream"
+	"github.com/oatlatch/oatlatch/internal/wait"
 )
 
 // requestResult is what a caller was told of one request.
@@ -52,7 +53,7 @@
 }
 
 func (l *requestLoad) work(ctx context.Context, name string, worker int) {
-	for number := 0; pause(ctx, requestPause) == nil; number++ {
+	for number := 0; wait.For(ctx, requestPause) == nil; number++ {
 		id := fmt.Sprintf("%s-%d-%d", name, worker, number)
 		// Each second worker confirms, the others download.
 		if worker%2 == 0 {
--- a/internal/demo/run.go
+++ b/internal/demo/run.go
@@ -9,6 +9,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/oatlatch/oatlatch/internal/service"
+	"github.com/oatlatch/oatlatch/internal/wait"
 )
 
 // step is one change made while flows and requests run.
@@ -86,7 +87,7 @@
 	started := time.Now()
 	for _, s := range r.options.steps(r) {
 		due := time.Duration(s.at * float64(r.options.Duration))
-		if err := pause(ctx, due-time.Since(started)); err != nil {
+		if err := wait.For(ctx, due-time.Since(started)); err != nil {
 			return err
 		}
 		r.progress("%s", s.name)
@@ -94,7 +95,7 @@
 			return fmt.Errorf("%s: %w", s.name, err)
 		}
 	}
-	return pause(ctx, max(r.options.Duration-time.Since(started), lastPause))
+	return wait.For(ctx, max(r.options.Duration-time.Since(started), lastPause))
 }
 
 func (r *run) steps() []step {
--- a/internal/demo/slope_test.go
+++ b/internal/demo/slope_test.go
@@ -10,6 +10,7 @@
 	"testing"
 	"time"
 
+	"github.com/oatlatch/oatlatch/internal/wait"
 	"github.com/rs/zerolog"
 	"golang.org/x/sync/errgroup"
 )
@@ -72,9 +73,9 @@
 	}
 	flows := flowLoad{fabric: d.fabric, answers: d.answers, ends: make(map[flowID]time.Time), perSecond: options.flowsPerSecond}
 	group.Go(func() error { flows.run(groupCtx, d.services); return nil })
-	_ = pause(ctx, settleTime)
+	_ = wait.For(ctx, settleTime)
 	before := usages(b, d)
-	_ = pause(ctx, measureTime)
+	_ = wait.For(ctx, measureTime)
 	after := usages(b, d)
 	var sum usage
 	for i := range after {
--- a/internal/dispatch/borrow.go
+++ b/internal/dispatch/borrow.go
@@ -6,6 +6,7 @@
 
 	"github.com/oatlatch/oatlatch/internal/admission"
 	"github.com/oatlatch/oatlatch/internal/host"
+	"github.com/oatlatch/oatlatch/internal/wait"
 )
 
 const (
@@ -98,7 +99,7 @@
 		if g, ok := d.borrowRound(r, deadline, exclude); ok {
 			return g, ""
 		}
-		if !sleep(ctx, pause) {
+		if wait.For(ctx, pause) != nil {
 			return grant{}, waitEnded(ctx)
 		}
 	}
--- a/internal/dispatch/relay.go
+++ b/internal/dispatch/relay.go
@@ -12,6 +12,7 @@
 	"github.com/oatlatch/oatlatch/internal/peer"
 	"github.com/oatlatch/oatlatch/internal/service"
 	"github.com/oatlatch/oatlatch/internal/ticket"
+	"github.com/oatlatch/oatlatch/internal/wait"
 )
 
 // RelayArgs carries a request to the host that holds its ticket's ledger.
@@ -158,7 +159,7 @@
 		if !busy {
 			tries++
 		}
-		if tries == relayTries || ctx.Err() != nil || (busy && !sleep(ctx, pause)) {
+		if tries == relayTries || ctx.Err() != nil || (busy && wait.For(ctx, pause) != nil) {
 			return RelayReply{}, err
 		}
 		pause = min(2*pause, lastLendPause)
@@ -184,15 +185,3 @@
 	d.metrics.relays.WithLabelValues("answered").Inc()
 	return reply, nil
 }
-
-// sleep waits and says whether ctx has not ended.
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/dispatch/stop.go
+++ b/internal/dispatch/stop.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"github.com/oatlatch/oatlatch/internal/wait"
 	"net/http"
 )
 
@@ -28,7 +29,7 @@
 func (d *Dispatcher) awaitQuiet(ctx context.Context) {
 	left := d.limits.QuietTime
 	for left > 0 {
-		if !sleep(ctx, left) {
+		if wait.For(ctx, left) != nil {
 			return
 		}
 		left = d.limits.QuietTime - d.options.Now().Sub(d.metrics.lastBegun())
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -13,6 +13,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/oatlatch/oatlatch/internal/host"
+	"github.com/oatlatch/oatlatch/internal/wait"
 )
 
 // ServerOptions configure a Server.
@@ -111,7 +112,7 @@
 		}
 		if err != nil {
 			s.options.Logger.Warn().Err(err).Msg("peer_accept_failed")
-			pause(ctx, acceptPause)
+			_ = wait.For(ctx, acceptPause)
 			continue
 		}
 		s.accept(connections, conn)
@@ -125,16 +126,6 @@
 // for want of file descriptors.
 const acceptPause = 100 * time.Millisecond
 
-// pause waits for the duration or the end of ctx.
-func pause(ctx context.Context, duration time.Duration) {
-	timer := time.NewTimer(duration)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
-
 // accept starts serving the connection unless too many are being set up.
 func (s *Server) accept(ctx context.Context, conn net.Conn) {
 	select {
--- a/internal/platform/http.go
+++ b/internal/platform/http.go
@@ -12,6 +12,7 @@
 	"sync"
 	"time"
 
+	"github.com/oatlatch/oatlatch/internal/wait"
 	"github.com/rs/zerolog"
 	"golang.org/x/time/rate"
 )
@@ -116,7 +117,7 @@
 		if ctx.Err() != nil || attempt == readAttempts {
 			break
 		}
-		if !sleep(ctx, h.backoff(attempt)) {
+		if wait.For(ctx, h.backoff(attempt)) != nil {
 			break
 		}
 	}
@@ -227,14 +228,3 @@
 	var op *net.OpError
 	return errors.As(err, &op) && op.Op == "dial"
 }
-
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
--- a/internal/standin/upstream/handler.go
+++ b/internal/standin/upstream/handler.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/oatlatch/oatlatch/internal/health"
+	"github.com/oatlatch/oatlatch/internal/wait"
 )
 
 // Limits of the stand-in.
@@ -88,7 +89,7 @@
 	}
 	defer func() { <-u.slots }()
 	run := u.begin(r)
-	err := wait(ctx, u.work(r))
+	err := wait.For(ctx, u.work(r))
 	u.finish(run, err != nil)
 	return run, err
 }
@@ -141,7 +142,7 @@
 // answer sends the answer to a finished run.
 func (u *Upstream) answer(w http.ResponseWriter, r *http.Request, run *Run, body []byte) {
 	faults := u.currentFaults()
-	if wait(r.Context(), faults.Late) != nil {
+	if wait.For(r.Context(), faults.Late) != nil {
 		return
 	}
 	answer := Answer(run.RequestID, body, answerSize(r))
@@ -200,20 +201,6 @@
 	return time.Duration(float64(work) * (1 + (u.options.ColdFactor-1)*(1-warm)))
 }
 
-func wait(ctx context.Context, d time.Duration) error {
-	if d <= 0 {
-		return ctx.Err()
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
-
 func answerSize(r *http.Request) int {
 	n, _ := strconv.Atoi(r.URL.Query().Get("bytes"))
 	return min(max(0, n), maxAnswerBytes)
