Leave hosts in both platform lists to membership

Cause: the daemon filtered the host list by a rule that membership already applies to hints (TestHostListIsAHint). Change: the daemon passes both lists on. Measured: the daemon's and the runner's suites and TestHostListIsAHint pass.

--- a/internal/daemon/build.go
+++ b/internal/daemon/build.go
@@ -7,7 +7,6 @@
 	"log"
 	"net"
 	"net/netip"
-	"slices"
 
 	"golang.org/x/net/netutil"
 
@@ -151,7 +150,8 @@
 	return nil
 }
 
-// hostHints reads the platform's lagging host list. A host in both of its lists is leaving.
+// hostHints reads the platform's lagging host list. Membership decides about a
+// host that is in both of its lists.
 func (d *Daemon) hostHints(ctx context.Context) ([]membership.Hint, error) {
 	list, err := d.platform.Hosts(ctx)
 	if err != nil {
@@ -162,10 +162,7 @@
 		hints = append(hints, membership.Hint{ID: h.ID, Address: h.PeerAddress, Leaving: true})
 	}
 	for _, h := range list.Live {
-		leaving := slices.ContainsFunc(list.Leaving, func(l host.Host) bool { return l.ID == h.ID })
-		if !leaving {
-			hints = append(hints, membership.Hint{ID: h.ID, Address: h.PeerAddress})
-		}
+		hints = append(hints, membership.Hint{ID: h.ID, Address: h.PeerAddress})
 	}
 	return hints, nil
 }
