Experiment: draw the worth over time

TestRunsRepeat compares with reflect.DeepEqual instead of ==, because a result now holds a slice; it compares every field as before, and the windows too.

Ruled out: drawing by hand; axes, legends and SVG are plumbing.

--- a/cmd/oatlatch/experiment.go
+++ b/cmd/oatlatch/experiment.go
@@ -2,12 +2,14 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
 	"os"
 	"text/tabwriter"
 	"time"
 
 	"github.com/oatlatch/oatlatch/internal/experiment"
+	"github.com/oatlatch/oatlatch/internal/experiment/chart"
 	"github.com/oatlatch/oatlatch/internal/flow/echo"
 )
 
@@ -23,6 +25,7 @@
 	ShareEvery time.Duration `default:"100ms" help:"Time between two exchanges of estimates under shared-estimates."`
 	Seconds    int           `default:"30" help:"How long callers send requests."`
 	JSON       bool          `help:"Print one JSON object for each run."`
+	Plot       string        `type:"path" placeholder:"FILE.svg" help:"Write a chart of the worth over time as well."`
 }
 
 // Run prints a table of what callers saw under each policy.
@@ -48,10 +51,25 @@
 	if err := options.Check(); err != nil {
 		return err
 	}
-	return c.play(patterns, options)
+	results, err := c.play(patterns, options)
+	if err != nil || c.Plot == "" {
+		return err
+	}
+	return writeChart(c.Plot, results)
+}
+
+// writeChart writes the chart in place of any other file of that name.
+func writeChart(path string, results []experiment.Result) (err error) {
+	file, err := os.Create(path)
+	if err != nil {
+		return fmt.Errorf("write the chart, name a file in a directory that exists: %w", err)
+	}
+	defer func() { err = errors.Join(err, file.Close()) }()
+	return chart.Write(file, results)
 }
 
-func (c *experimentCommand) play(patterns []experiment.Pattern, options experiment.Options) error {
+func (c *experimentCommand) play(patterns []experiment.Pattern, options experiment.Options) ([]experiment.Result, error) {
+	var results []experiment.Result
 	table := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
 	if !c.JSON {
 		fmt.Fprintln(table, "pattern\tpolicy\trequests\tin time\tlate\trefused\tfailed\tworth\tworst window\tworst site\tp50\tp99")
@@ -59,9 +77,10 @@
 	for _, p := range patterns {
 		for _, policy := range echo.Policies() {
 			r := experiment.Play(p, policy, options)
+			results = append(results, r)
 			if c.JSON {
 				if err := json.NewEncoder(os.Stdout).Encode(r); err != nil {
-					return fmt.Errorf("print a result: %w", err)
+					return nil, fmt.Errorf("print a result: %w", err)
 				}
 				continue
 			}
@@ -69,5 +88,5 @@
 				r.Refused, r.Failed, r.Worth, r.WorstWindow, r.WorstSite, r.P50.Round(time.Millisecond), r.P99.Round(time.Millisecond))
 		}
 	}
-	return table.Flush()
+	return results, table.Flush()
 }
--- /dev/null
+++ b/internal/experiment/chart/chart.go
@@ -0,0 +1,84 @@
+// Package chart draws what callers saw in an experiment.
+package chart
+
+import (
+	"fmt"
+	"io"
+
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/plotutil"
+	"gonum.org/v1/plot/vg"
+	"gonum.org/v1/plot/vg/draw"
+	"gonum.org/v1/plot/vg/vgsvg"
+
+	"github.com/oatlatch/oatlatch/internal/experiment"
+)
+
+const (
+	// panelWidth and panelHeight are the size of the panel of one pattern.
+	panelWidth  = 20 * vg.Centimeter
+	panelHeight = 7 * vg.Centimeter
+	// panelGap is the space between two panels.
+	panelGap = 0.5 * vg.Centimeter
+)
+
+// Write writes an SVG with a panel for each pattern, in which each policy has a
+// line: the worth of the requests sent in each window of the run.
+func Write(out io.Writer, results []experiment.Result) error {
+	panels, err := panels(results)
+	if err != nil {
+		return err
+	}
+	rows := len(panels)
+	canvas := vgsvg.New(panelWidth, vg.Length(rows)*panelHeight)
+	tiles := draw.Tiles{Rows: rows, Cols: 1, PadY: panelGap, PadRight: panelGap}
+	for i, areas := range plot.Align(panels, tiles, draw.New(canvas)) {
+		panels[i][0].Draw(areas[0])
+	}
+	if _, err := canvas.WriteTo(out); err != nil {
+		return fmt.Errorf("write the chart: %w", err)
+	}
+	return nil
+}
+
+// panels returns one row of one panel for each pattern, in the results' order.
+func panels(results []experiment.Result) ([][]*plot.Plot, error) {
+	var rows [][]*plot.Plot
+	var panel *plot.Plot
+	lines := 0
+	for i, r := range results {
+		if i == 0 || results[i-1].Pattern != r.Pattern {
+			panel = newPanel(r.Pattern)
+			lines = 0
+			rows = append(rows, []*plot.Plot{panel})
+		}
+		points := make(plotter.XYs, len(r.Windows))
+		for j, w := range r.Windows {
+			points[j] = plotter.XY{X: w.At.Seconds(), Y: w.Worth}
+		}
+		line, err := plotter.NewLine(points)
+		if err != nil {
+			return nil, fmt.Errorf("draw %s under %s: %w", r.Pattern, r.Policy, err)
+		}
+		line.Color, line.Dashes = plotutil.Color(lines), plotutil.Dashes(lines)
+		lines++
+		panel.Add(line)
+		panel.Legend.Add(r.Policy, line)
+	}
+	if len(rows) == 0 {
+		return nil, fmt.Errorf("there are no results to draw: play a pattern")
+	}
+	return rows, nil
+}
+
+func newPanel(pattern string) *plot.Plot {
+	p := plot.New()
+	p.Title.Text = pattern
+	p.X.Label.Text = "time of the request (s)"
+	p.Y.Label.Text = "worth"
+	p.Y.Min, p.Y.Max = 0, 1
+	p.Legend.YOffs = panelGap
+	p.Add(plotter.NewGrid())
+	return p
+}
--- a/internal/experiment/pattern_test.go
+++ b/internal/experiment/pattern_test.go
@@ -1,6 +1,7 @@
 package experiment
 
 import (
+	"reflect"
 	"testing"
 
 	"github.com/oatlatch/oatlatch/internal/flow/echo"
@@ -53,7 +54,7 @@
 
 func TestRunsRepeat(t *testing.T) {
 	for _, p := range Patterns() {
-		if a, b := Play(p, echo.LeastUsed, Defaults()), Play(p, echo.LeastUsed, Defaults()); a != b {
+		if a, b := Play(p, echo.LeastUsed, Defaults()), Play(p, echo.LeastUsed, Defaults()); !reflect.DeepEqual(a, b) {
 			t.Errorf("%s: two runs of one seed differ: %+v, %+v", p.Name, a, b)
 		}
 	}
--- a/internal/experiment/result.go
+++ b/internal/experiment/result.go
@@ -1,6 +1,7 @@
 package experiment
 
 import (
+	"maps"
 	"slices"
 	"time"
 )
@@ -25,6 +26,16 @@
 	WorstWindow, WorstSite float64
 	// P50 and P99 are of answers.
 	P50, P99 time.Duration
+	// Windows are the spans of the run that have enough requests, in order.
+	Windows []Window
+}
+
+// Window is a span of the run.
+type Window struct {
+	// At is when it begins.
+	At time.Duration
+	// Worth is that of the requests sent in it.
+	Worth float64
 }
 
 // recorder collects requests.
@@ -91,9 +102,10 @@
 		Pattern: pattern, Policy: policy, Requests: r.total.requests(), InTime: r.total.inTime, Late: r.total.late,
 		Refused: r.total.refused, Failed: r.total.failed, Worth: r.total.worth(), WorstWindow: 1, WorstSite: 1,
 	}
-	for _, t := range r.windows {
-		if t.requests() >= minRequests {
+	for _, number := range slices.Sorted(maps.Keys(r.windows)) {
+		if t := r.windows[number]; t.requests() >= minRequests {
 			out.WorstWindow = min(out.WorstWindow, t.worth())
+			out.Windows = append(out.Windows, Window{At: time.Duration(number) * window, Worth: t.worth()})
 		}
 	}
 	for _, t := range r.sites {
