Echo: keep flows in the data centre until its slots are full

Cause: a host counts only its own flows. At an upstream of its data centre that is most of them, at a remote one few. With a remote cost of half the slots, hosts of several data centres send to the same remote upstreams under load and queue there, while others idle.

Change: a remote upstream has to be better by all of its slots.

--- a/internal/experiment/pattern.go
+++ b/internal/experiment/pattern.go
@@ -31,6 +31,7 @@
 	return []Pattern{
 		{"steady", "nothing but load", func(*world) {}},
 		{"burst", "1.7 times the load for six seconds", burst},
+		{"overload", "2.2 times the load, more than all slots, for six seconds", overload},
 		{"rolling-release", "upstreams are replaced one after the other by cold ones", rollingRelease},
 		{"scale-in", "a fifth of the upstreams drains and leaves", scaleIn},
 		{"zone-cut", "one data centre is cut off from the others for six seconds", zoneCut},
@@ -86,6 +87,11 @@
 	w.at(patternEnd, func() { w.rate = 1 })
 }
 
+func overload(w *world) {
+	w.at(patternAt, func() { w.rate = 2.2 })
+	w.at(patternEnd, func() { w.rate = 1 })
+}
+
 func rollingRelease(w *world) {
 	for i, u := range slices.Clone(w.upstreams) {
 		w.at(5*time.Second+time.Duration(i)*time.Second, func() {
--- a/internal/experiment/pattern_test.go
+++ b/internal/experiment/pattern_test.go
@@ -99,3 +99,18 @@
 		}
 	}
 }
+
+// TestOverloadIsNearTheBound has more requests than slots for six seconds. Hosts
+// of several data centres that send to the same upstreams do not see each
+// other's requests there, so that those upstreams queue while others idle.
+func TestOverloadIsNearTheBound(t *testing.T) {
+	const margin = 0.01 // of the worth of a balancer that sees every queue
+	p, err := Find("overload")
+	if err != nil {
+		t.Fatal(err)
+	}
+	got, bound := Play(p, echo.LeastUsed, Defaults()), Play(p, echo.AllKnowing, Defaults())
+	if got.Worth < bound.Worth-margin {
+		t.Errorf("worth %.3f, all-knowing %.3f", got.Worth, bound.Worth)
+	}
+}
--- a/internal/flow/echo/choose.go
+++ b/internal/flow/echo/choose.go
@@ -4,8 +4,11 @@
 
 const (
 	// remoteCost is what an upstream in another data centre has to be better by,
-	// as a fraction of its slots in use.
-	remoteCost = 0.5
+	// as a fraction of its slots in use: a host sees the requests of its own flows
+	// only, and at remote upstreams most are of other hosts. Below 1 overload
+	// costs more (internal/experiment), above it a cut of a data centre with few
+	// upstreams does (users' bench).
+	remoteCost = 1.0
 )
 
 // choose returns the upstream for a new flow of the route, or the reason why
--- a/internal/flow/echo/policy.go
+++ b/internal/flow/echo/policy.go
@@ -11,7 +11,7 @@
 // Policies.
 const (
 	// LeastUsed takes the upstream with the smallest part of its slots in use by
-	// this host's flows; one in another data centre has to be better by half.
+	// this host's flows; one in another data centre has to be better by all its slots.
 	LeastUsed Policy = iota
 	// Random takes any upstream.
 	Random
