Echo: refuse new flows while most answers are slow

Cause: a host refuses by its own requests at the least used upstream.

Change: a pool keeps the part of its latest answers that took more than 0.4 of their objective and 1.5 times the usual work time. While that is more than half, and one of this host's requests waits at the best upstream, new flows of routes that give way are refused. Tests: a crowd of other hosts' requests (failed first: forwarded), and that no refusal follows from an upstream without requests, silence, fast answers again, a few slow upstreams, or long work.

--- /dev/null
+++ b/internal/flow/echo/crowded_test.go
@@ -0,0 +1,84 @@
+package echo
+
+import (
+	"testing"
+	"time"
+
+	"github.com/oatlatch/oatlatch/internal/catalog"
+)
+
+// answers lets the given number of requests be answered one after the other,
+// each on a flow of its own.
+func (d *desk) answers(n int, took time.Duration) {
+	for range n {
+		f := d.caller(watchAddress)
+		f.open()
+		f.ask()
+		d.pass(took)
+		f.receive()
+		f.finish()
+	}
+}
+
+// crowd lets answers become slow although this host's own requests leave slots
+// free, as under a burst that other hosts forward.
+func crowd(t *testing.T, upstreams ...catalog.Entry) *desk {
+	d := newDesk(t, upstreams...)
+	d.answers(200, 60*time.Millisecond)
+	d.answers(40, 180*time.Millisecond)
+	return d
+}
+
+// await leaves a request without answer at each of the upstreams.
+func (d *desk) await(n int) {
+	for range n {
+		f := d.caller(orderAddress)
+		f.open()
+		f.ask()
+	}
+}
+
+func TestFlowsAreRefusedWhileOtherHostsFillTheSlots(t *testing.T) {
+	d := crowd(t, entry(1, testDC), entry(2, testDC))
+	d.await(2)
+	d.expect(d.caller(watchAddress).syn(), Reset, Overloaded)
+	d.expect(d.caller(orderAddress).syn(), Forward, Opened)
+}
+
+func TestAnUpstreamWithoutRequestsIsNotCrowded(t *testing.T) {
+	d := crowd(t, entry(1, testDC), entry(2, testDC))
+	d.await(1)
+	d.expect(d.caller(watchAddress).syn(), Forward, Opened)
+}
+
+func TestACrowdIsForgottenWithoutAnswers(t *testing.T) {
+	d := crowd(t, entry(1, testDC), entry(2, testDC))
+	d.await(2)
+	d.pass(crowdedFor)
+	d.expect(d.caller(watchAddress).syn(), Forward, Opened)
+}
+
+func TestACrowdEndsWithFastAnswers(t *testing.T) {
+	d := crowd(t, entry(1, testDC), entry(2, testDC))
+	d.answers(20, 60*time.Millisecond)
+	d.await(2)
+	d.expect(d.caller(watchAddress).syn(), Forward, Opened)
+}
+
+func TestAFewSlowUpstreamsAreNoCrowd(t *testing.T) {
+	d := newDesk(t, entry(1, testDC), entry(2, testDC))
+	d.answers(200, 60*time.Millisecond)
+	for range 20 {
+		d.answers(1, 240*time.Millisecond)
+		d.answers(2, 60*time.Millisecond)
+	}
+	d.await(2)
+	d.expect(d.caller(watchAddress).syn(), Forward, Opened)
+}
+
+func TestLongWorkIsNoCrowd(t *testing.T) {
+	d := newDesk(t, entry(1, testDC), entry(2, testDC))
+	d.answers(200, 200*time.Millisecond)
+	d.await(2)
+	d.expect(d.caller(watchAddress).syn(), Forward, Opened)
+}
--- a/internal/flow/echo/later.go
+++ b/internal/flow/echo/later.go
@@ -25,7 +25,7 @@
 	} else if rec.phase == opening {
 		e.settle(r, rec, s)
 	}
-	repeated, answered := e.note(now, rec, s)
+	repeated, answered := e.note(now, r, rec, s)
 	if repeated {
 		e.strike(now, rec, rec.asked)
 	}
@@ -55,7 +55,7 @@
 
 // note updates the record by the packet. It reports whether the caller repeats
 // data that it has sent before, and how long an acknowledged answer took.
-func (e *Engine) note(now time.Time, rec *record, s *Segment) (repeated bool, answered time.Duration) {
+func (e *Engine) note(now time.Time, r *route, rec *record, s *Segment) (repeated bool, answered time.Duration) {
 	rec.seen = now
 	switch {
 	case rec.phase == opening:
@@ -72,7 +72,7 @@
 			break
 		}
 		answered = now.Sub(rec.asked)
-		e.learn(rec, answered)
+		e.learn(now, r, rec, answered)
 		rec.answered()
 		e.answer(now, rec.upstream)
 	}
@@ -92,10 +92,14 @@
 	return repeated, answered
 }
 
-// learn adds the time of an answer that did not wait for a slot to the estimate
-// of its service's work time.
-func (e *Engine) learn(rec *record, took time.Duration) {
-	if p := e.pools[rec.upstream.Service]; rec.unqueued && p != nil {
+// learn adds the time of an answer to what is known of its service.
+func (e *Engine) learn(now time.Time, r *route, rec *record, took time.Duration) {
+	p := e.pools[rec.upstream.Service]
+	if p == nil {
+		return
+	}
+	p.note(now, took, r.Objective)
+	if rec.unqueued {
 		p.learn(took)
 	}
 }
