Echo: refuse the lowest priority that has traffic first

Cause: routes of all but the highest configured priority gave way alike. On the users' platform idle routes have priority 0, so that requests that may not be repeated (priority 1) were refused as soon as those that may (priority 2).

Change: a pool keeps the lowest priority of new flows of the last 30 s. It gives way as before; other priorities than the highest do while 0.85 of the answers are slow, that is, when refusing the lowest has not been enough. Tests for both, and for a lowest priority that has no traffic any more; the first failed with a refused order.

--- a/internal/flow/echo/choose.go
+++ b/internal/flow/echo/choose.go
@@ -22,7 +22,7 @@
 	if u == nil {
 		return nil, NoUpstream
 	}
-	if r.sheddable && (p.late(now, u, r.Objective) || u.waiting > 0 && p.crowded(now)) {
+	if r.sheddable && p.refuses(now, r, u) {
 		return u, Overloaded
 	}
 	return u, 0
--- a/internal/flow/echo/crowded_test.go
+++ b/internal/flow/echo/crowded_test.go
@@ -82,3 +82,49 @@
 	d.await(2)
 	d.expect(d.caller(watchAddress).syn(), Forward, Opened)
 }
+
+// withIdleRoute adds a route of the highest priority that has no traffic.
+func (d *desk) withIdleRoute() {
+	idle := d.routes[0]
+	idle.Name, idle.Address, idle.Priority = "idle", storeAddress, 0
+	d.routes = append(d.routes, idle)
+	d.version++
+	d.apply()
+}
+
+func TestTheLowestPriorityGivesWayFirst(t *testing.T) {
+	d := newDesk(t, entry(1, testDC), entry(2, testDC))
+	d.withIdleRoute()
+	d.answers(200, 60*time.Millisecond)
+	d.answers(20, 180*time.Millisecond)
+	d.await(2)
+	d.expect(d.caller(watchAddress).syn(), Reset, Overloaded)
+	d.expect(d.caller(orderAddress).syn(), Forward, Opened)
+}
+
+func TestOtherPrioritiesGiveWayWhileNearlyAllAnswersAreSlow(t *testing.T) {
+	d := newDesk(t, entry(1, testDC), entry(2, testDC))
+	d.withIdleRoute()
+	d.answers(200, 60*time.Millisecond)
+	d.answers(80, 180*time.Millisecond)
+	d.await(2)
+	d.expect(d.caller(orderAddress).syn(), Reset, Overloaded)
+	d.expect(d.caller(storeAddress).syn(), Forward, Opened)
+}
+
+func TestAPriorityWithoutTrafficIsNotTheLowest(t *testing.T) {
+	d := newDesk(t, entry(1, testDC), entry(2, testDC))
+	d.withIdleRoute()
+	d.answers(200, 60*time.Millisecond)
+	d.pass(2 * latelyFor)
+	for range 20 {
+		f := d.caller(orderAddress)
+		f.open()
+		f.ask()
+		d.pass(180 * time.Millisecond)
+		f.receive()
+		f.finish()
+	}
+	d.await(2)
+	d.expect(d.caller(orderAddress).syn(), Reset, Overloaded)
+}
--- a/internal/flow/echo/pool.go
+++ b/internal/flow/echo/pool.go
@@ -19,10 +19,13 @@
 	// crowdedWeight is the weight of one more answer in the part of slow answers:
 	// about 20 answers count.
 	crowdedWeight = 0.05
-	// crowdedPart is the part of slow answers from which a pool is crowded. Most
-	// answers are slow when requests queue everywhere, not when a few upstreams
-	// are slow.
+	// crowdedPart is the part of slow answers from which the lowest priority gives
+	// way. Most answers are slow when requests queue everywhere, not when a few
+	// upstreams are slow.
 	crowdedPart = 0.5
+	// fullPart is the part of slow answers from which routes of other than the
+	// lowest priority give way too: refusing the lowest has not been enough.
+	fullPart = 0.85
 	// crowdedFor is how long a pool that answers nothing stays crowded.
 	crowdedFor = 500 * time.Millisecond
 )
@@ -37,6 +40,8 @@
 	// usual is the same over a longer time, of learned answers so far.
 	usual   time.Duration
 	learned int
+	// lowest is the lowest priority of the latest new flows.
+	lowest lately
 	// slow is the part of the latest answers that were slow, slowAt the time of
 	// the last one.
 	slow   float64
@@ -68,10 +73,24 @@
 	p.slowAt = now
 }
 
-// crowded reports whether most requests wait for a slot. Unlike late, it shows
-// the requests of all hosts.
-func (p *pool) crowded(now time.Time) bool {
-	return p.slow > crowdedPart && now.Sub(p.slowAt) < crowdedFor
+// refuses reports whether a new flow of a route that gives way would be answered
+// late at the upstream. The lowest priority that has traffic gives way first.
+func (p *pool) refuses(now time.Time, r *route, u *upstream) bool {
+	p.lowest.note(now, r.Priority, r.Priority >= p.lowest.priority)
+	part := fullPart
+	if r.Priority == p.lowest.priority {
+		if p.late(now, u, r.Objective) {
+			return true
+		}
+		part = crowdedPart
+	}
+	return u.waiting > 0 && p.crowded(now, part)
+}
+
+// crowded reports whether more than the part of the requests waits for a slot.
+// Unlike late, it shows the requests of all hosts.
+func (p *pool) crowded(now time.Time, part float64) bool {
+	return p.slow > part && now.Sub(p.slowAt) < crowdedFor
 }
 
 // late reports whether a new request would have to wait for a slot of the
