Echo: tell what a refusal under overload rests on

Cause: flow_reset with reason overloaded told this host's requests and slots, but not the answer times that now decide as well. Each decision's line has to tell its inputs.

The chart's variable no longer hides its function.

Ruled out: the fields on all lines of flows, which would make each longer by 40 bytes.

--- a/internal/experiment/chart/chart.go
+++ b/internal/experiment/chart/chart.go
@@ -26,15 +26,14 @@
 // Write writes an SVG with a panel for each pattern, in which each policy has a
 // line: the worth of the requests sent in each window of the run.
 func Write(out io.Writer, results []experiment.Result) error {
-	panels, err := panels(results)
+	rows, err := panels(results)
 	if err != nil {
 		return err
 	}
-	rows := len(panels)
-	canvas := vgsvg.New(panelWidth, vg.Length(rows)*panelHeight)
-	tiles := draw.Tiles{Rows: rows, Cols: 1, PadY: panelGap, PadRight: panelGap}
-	for i, areas := range plot.Align(panels, tiles, draw.New(canvas)) {
-		panels[i][0].Draw(areas[0])
+	canvas := vgsvg.New(panelWidth, vg.Length(len(rows))*panelHeight)
+	tiles := draw.Tiles{Rows: len(rows), Cols: 1, PadY: panelGap, PadRight: panelGap}
+	for i, areas := range plot.Align(rows, tiles, draw.New(canvas)) {
+		rows[i][0].Draw(areas[0])
 	}
 	if _, err := canvas.WriteTo(out); err != nil {
 		return fmt.Errorf("write the chart: %w", err)
--- a/internal/flow/echo/choose.go
+++ b/internal/flow/echo/choose.go
@@ -3,11 +3,10 @@
 import "time"
 
 const (
-	// remoteCost is what an upstream in another data centre has to be better by,
-	// as a fraction of its slots in use: a host sees the requests of its own flows
-	// only, and at remote upstreams most are of other hosts. Below 1 overload
-	// costs more (internal/experiment), above it a cut of a data centre with few
-	// upstreams does (users' bench).
+	// remoteCost is what an upstream in another data centre has to be better by, as
+	// a fraction of its slots in use: flows leave once all slots here are in use. A
+	// host does not see the requests of other hosts, and remote upstreams have most
+	// of those.
 	remoteCost = 1.0
 )
 
--- a/internal/flow/echo/crowded_test.go
+++ b/internal/flow/echo/crowded_test.go
@@ -41,7 +41,11 @@
 func TestFlowsAreRefusedWhileOtherHostsFillTheSlots(t *testing.T) {
 	d := crowd(t, entry(1, testDC), entry(2, testDC))
 	d.await(2)
-	d.expect(d.caller(watchAddress).syn(), Reset, Overloaded)
+	refused := d.caller(watchAddress).syn()
+	d.expect(refused, Reset, Overloaded)
+	if refused.Detail.SlowAnswers <= crowdedPart || refused.Detail.Work == 0 {
+		t.Errorf("the refusal does not tell what it rests on: %+v", refused.Detail)
+	}
 	d.expect(d.caller(orderAddress).syn(), Forward, Opened)
 }
 
--- a/internal/flow/echo/detail.go
+++ b/internal/flow/echo/detail.go
@@ -22,6 +22,10 @@
 	Waiting, Open, Slots int
 	// Silent is the time since the upstream last answered a flow of this host.
 	Silent time.Duration
+	// Work is how long the upstream's service takes for a request, SlowAnswers the
+	// part of its latest answers that were slow. Both are set on refusals only.
+	Work        time.Duration
+	SlowAnswers float64
 	// FlowAge is how long the flow has been known.
 	FlowAge time.Duration
 	// Copies is the number of SYNs before this one.
@@ -40,6 +44,9 @@
 		d.Detail.Waiting, d.Detail.Open, d.Detail.Slots = u.waiting, u.open, u.Slots
 		d.Detail.Silent = age(now, u.answered)
 	}
+	if p := e.poolOf(u); d.Reason == Overloaded && p != nil {
+		d.Detail.Work, d.Detail.SlowAnswers = p.work, p.slow
+	}
 	if rec != nil {
 		d.Detail.FlowAge = age(now, rec.since)
 	}
--- a/internal/flow/echo/engine.go
+++ b/internal/flow/echo/engine.go
@@ -128,6 +128,14 @@
 	return Decision{Verdict: Drop, Reason: NoRoute}
 }
 
+// poolOf returns the pool of the upstream's service, or nil.
+func (e *Engine) poolOf(u *upstream) *pool {
+	if u == nil {
+		return nil
+	}
+	return e.pools[u.Service]
+}
+
 func forward(u *upstream, reason Reason) Decision {
 	return Decision{Verdict: Forward, Reason: reason, Upstream: u.ID, Address: u.Address, Token: u.token}
 }
--- a/internal/flow/echo/later.go
+++ b/internal/flow/echo/later.go
@@ -94,7 +94,7 @@
 
 // learn adds the time of an answer to what is known of its service.
 func (e *Engine) learn(now time.Time, r *route, rec *record, took time.Duration) {
-	p := e.pools[rec.upstream.Service]
+	p := e.poolOf(rec.upstream)
 	if p == nil {
 		return
 	}
--- a/internal/forward/echolog.go
+++ b/internal/forward/echolog.go
@@ -45,6 +45,9 @@
 			Bool("draining", detail.Draining).Bool("suspected", detail.Suspected).
 			Int("waiting", detail.Waiting).Int("slots", detail.Slots).Int("open", detail.Open).Dur("silent_ms", detail.Silent)
 	}
+	if d.Reason == echo.Overloaded {
+		line = line.Dur("work_ms", detail.Work).Float64("slow_answers", detail.SlowAnswers)
+	}
 	if d.Reason == echo.OpenedElsewhere {
 		line = line.Stringer("to", d.Address)
 	}
