Forward: show what a packet costs

Cause: the issue asks that the packet path allocates nothing and that its system calls and wake-ups be reported; only the engine's decision had a test.

The worker has a constructor, which the test shares.

Ruled out: batches.

--- a/internal/forward/echo.go
+++ b/internal/forward/echo.go
@@ -60,11 +60,7 @@
 // Run forwards packets until ctx ends.
 func (f *Echo) Run(ctx context.Context) error {
 	done := make(chan struct{})
-	w := &echoWorker{
-		forwarder: f, headroom: f.options.Codec.Headroom(),
-		reset: make([]byte, 0, f.options.Codec.MaxSize()),
-	}
-	w.buffer = make([]byte, w.headroom+f.options.Codec.MaxSize()+1)
+	w := newEchoWorker(f)
 	go func() {
 		defer close(done)
 		receive(f.conn, w.buffer[w.headroom:], f.options.Logger, w.handle)
@@ -90,6 +86,15 @@
 	malformedAt time.Time
 }
 
+func newEchoWorker(f *Echo) *echoWorker {
+	w := &echoWorker{
+		forwarder: f, headroom: f.options.Codec.Headroom(),
+		reset: make([]byte, 0, f.options.Codec.MaxSize()),
+	}
+	w.buffer = make([]byte, w.headroom+f.options.Codec.MaxSize()+1)
+	return w
+}
+
 // handle forwards or answers one packet of a caller.
 func (w *echoWorker) handle(datagram []byte, source netip.AddrPort) {
 	f := w.forwarder
