--- a/internal/flow/echo/pool.go
+++ b/internal/flow/echo/pool.go
@@ -37,7 +37,7 @@
 	// leave a slot free. Other hosts' requests are in it. It is zero before any
 	// answer, so that nothing is refused on a guess.
 	work time.Duration
-	// usual is the same over a longer time, of learned answers so far.
+	// usual is the same over a longer time, learned the number of answers in it.
 	usual   time.Duration
 	learned int
 	// lowest is the lowest priority of the latest new flows.
