--- a/internal/flow/echo/choose_test.go
+++ b/internal/flow/echo/choose_test.go
@@ -48,14 +48,7 @@
 func TestUnderOverloadTheHighestPriorityIsServed(t *testing.T) {
 	g := NewWithT(t)
 	d := newDesk(t, entry(1, testDC))
-	for range 10 {
-		f := d.caller(watchAddress)
-		f.open()
-		f.ask()
-		d.pass(60 * time.Millisecond)
-		f.receive()
-		f.finish()
-	}
+	d.answers(watchAddress, 10, 60*time.Millisecond)
 	admitted := 0
 	for range 100 {
 		if d.caller(watchAddress).syn().Verdict == Forward {
@@ -69,14 +62,7 @@
 
 func TestNothingIsRefusedWhileASlotIsFree(t *testing.T) {
 	d := newDesk(t, entry(1, testDC), entry(2, otherDC))
-	for range 10 {
-		f := d.caller(watchAddress)
-		f.open()
-		f.ask()
-		d.pass(400 * time.Millisecond)
-		f.receive()
-		f.finish()
-	}
+	d.answers(watchAddress, 10, 400*time.Millisecond)
 	d.pass(50 * time.Millisecond)
 	d.expect(d.caller(watchAddress).syn(), Forward, Opened)
 }
--- a/internal/flow/echo/crowded_test.go
+++ b/internal/flow/echo/crowded_test.go
@@ -7,25 +7,12 @@
 	"github.com/oatlatch/oatlatch/internal/catalog"
 )
 
-// answers lets the given number of requests be answered one after the other,
-// each on a flow of its own.
-func (d *desk) answers(n int, took time.Duration) {
-	for range n {
-		f := d.caller(watchAddress)
-		f.open()
-		f.ask()
-		d.pass(took)
-		f.receive()
-		f.finish()
-	}
-}
-
 // crowd lets answers become slow although this host's own requests leave slots
 // free, as under a burst that other hosts forward.
 func crowd(t *testing.T, upstreams ...catalog.Entry) *desk {
 	d := newDesk(t, upstreams...)
-	d.answers(200, 60*time.Millisecond)
-	d.answers(40, 180*time.Millisecond)
+	d.answers(watchAddress, 200, 60*time.Millisecond)
+	d.answers(watchAddress, 40, 180*time.Millisecond)
 	return d
 }
 
@@ -64,17 +51,17 @@
 
 func TestACrowdEndsWithFastAnswers(t *testing.T) {
 	d := crowd(t, entry(1, testDC), entry(2, testDC))
-	d.answers(20, 60*time.Millisecond)
+	d.answers(watchAddress, 20, 60*time.Millisecond)
 	d.await(2)
 	d.expect(d.caller(watchAddress).syn(), Forward, Opened)
 }
 
 func TestAFewSlowUpstreamsAreNoCrowd(t *testing.T) {
 	d := newDesk(t, entry(1, testDC), entry(2, testDC))
-	d.answers(200, 60*time.Millisecond)
+	d.answers(watchAddress, 200, 60*time.Millisecond)
 	for range 20 {
-		d.answers(1, 240*time.Millisecond)
-		d.answers(2, 60*time.Millisecond)
+		d.answers(watchAddress, 1, 240*time.Millisecond)
+		d.answers(watchAddress, 2, 60*time.Millisecond)
 	}
 	d.await(2)
 	d.expect(d.caller(watchAddress).syn(), Forward, Opened)
@@ -82,7 +69,7 @@
 
 func TestLongWorkIsNoCrowd(t *testing.T) {
 	d := newDesk(t, entry(1, testDC), entry(2, testDC))
-	d.answers(200, 200*time.Millisecond)
+	d.answers(watchAddress, 200, 200*time.Millisecond)
 	d.await(2)
 	d.expect(d.caller(watchAddress).syn(), Forward, Opened)
 }
@@ -99,8 +86,8 @@
 func TestTheLowestPriorityGivesWayFirst(t *testing.T) {
 	d := newDesk(t, entry(1, testDC), entry(2, testDC))
 	d.withIdleRoute()
-	d.answers(200, 60*time.Millisecond)
-	d.answers(20, 180*time.Millisecond)
+	d.answers(watchAddress, 200, 60*time.Millisecond)
+	d.answers(watchAddress, 20, 180*time.Millisecond)
 	d.await(2)
 	d.expect(d.caller(watchAddress).syn(), Reset, Overloaded)
 	d.expect(d.caller(orderAddress).syn(), Forward, Opened)
@@ -109,8 +96,8 @@
 func TestOtherPrioritiesGiveWayWhileNearlyAllAnswersAreSlow(t *testing.T) {
 	d := newDesk(t, entry(1, testDC), entry(2, testDC))
 	d.withIdleRoute()
-	d.answers(200, 60*time.Millisecond)
-	d.answers(80, 180*time.Millisecond)
+	d.answers(watchAddress, 200, 60*time.Millisecond)
+	d.answers(watchAddress, 80, 180*time.Millisecond)
 	d.await(2)
 	d.expect(d.caller(orderAddress).syn(), Reset, Overloaded)
 	d.expect(d.caller(storeAddress).syn(), Forward, Opened)
@@ -119,16 +106,9 @@
 func TestAPriorityWithoutTrafficIsNotTheLowest(t *testing.T) {
 	d := newDesk(t, entry(1, testDC), entry(2, testDC))
 	d.withIdleRoute()
-	d.answers(200, 60*time.Millisecond)
+	d.answers(watchAddress, 200, 60*time.Millisecond)
 	d.pass(2 * latelyFor)
-	for range 20 {
-		f := d.caller(orderAddress)
-		f.open()
-		f.ask()
-		d.pass(180 * time.Millisecond)
-		f.receive()
-		f.finish()
-	}
+	d.answers(orderAddress, 20, 180*time.Millisecond)
 	d.await(2)
 	d.expect(d.caller(orderAddress).syn(), Reset, Overloaded)
 }
--- a/internal/flow/echo/desk_test.go
+++ b/internal/flow/echo/desk_test.go
@@ -138,6 +138,19 @@
 
 func (f *flow) finish() { f.send(Segment{ACK: true, FIN: true}) }
 
+// answers lets the given number of requests be answered one after the other,
+// each on a flow of its own.
+func (d *desk) answers(to netip.AddrPort, n int, took time.Duration) {
+	for range n {
+		f := d.caller(to)
+		f.open()
+		f.ask()
+		d.pass(took)
+		f.receive()
+		f.finish()
+	}
+}
+
 func (d *desk) expect(got Decision, verdict Verdict, reason Reason) {
 	d.t.Helper()
 	if got.Verdict != verdict || got.Reason != reason {
