Start benchmark: register upstreams through the stand-in

The benchmark spelled out the platform's key and fields of a registration, which the stand-in of an upstream already has.

--- a/cmd/oatlatchd/start_test.go
+++ b/cmd/oatlatchd/start_test.go
@@ -92,10 +92,11 @@
 		b.Fatal(err)
 	}
 	for i := range startUpstreams {
-		if err := store.Put(fmt.Sprintf("servers/i-%010x", i), map[string]any{
-			"service": "desk", "address": fmt.Sprintf("10.0.%d.%d:8080", i>>8, i&255), "zone": "a", "version": "v1", "concurrency": 2,
-			"state": "ready", "warmup_left_ms": 0, "sequence": 1, "born": 1_700_000_000_000 + i,
-		}); err != nil {
+		u := standin.UpstreamOptions{
+			Name: fmt.Sprintf("i-%010x", i), Service: "desk", DataCentre: "a", Slots: 2,
+			Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i)}), 8080),
+		}
+		if err := store.Put(u.Key(), u.Registration(false)); err != nil {
 			b.Fatal(err)
 		}
 	}
