Echo: the lowest priority decides by itself which one it takes

Its note took a flag from the time when a highest priority was kept in the same way. With one use left, the comparison belongs in the type, and a time that was never set is old enough without a check of its own. Decisions are unchanged; the tests are as they were.

--- a/internal/flow/echo/pool.go
+++ b/internal/flow/echo/pool.go
@@ -41,7 +41,7 @@
 	usual   time.Duration
 	learned int
 	// lowest is the lowest priority of the latest new flows.
-	lowest lately
+	lowest lowestLately
 	// slow is the part of the latest answers that were slow, slowAt the time of
 	// the last one.
 	slow   float64
@@ -74,9 +74,10 @@
 }
 
 // refuses reports whether a new flow of a route that gives way would be answered
-// late at the upstream. The lowest priority that has traffic gives way first.
+// late at the upstream, and notes the route's priority: the lowest that has
+// traffic gives way first.
 func (p *pool) refuses(now time.Time, r *route, u *upstream) bool {
-	p.lowest.note(now, r.Priority, r.Priority >= p.lowest.priority)
+	p.lowest.note(now, r.Priority)
 	part := fullPart
 	if r.Priority == p.lowest.priority {
 		if p.late(now, u, r.Objective) {
