--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -5,7 +5,7 @@
 // The view is built from records of the platform's store. A listing contains all
 // records and is read in pages; a change is one record that was written or removed.
 // Every write to the store increases its revision, and each record carries the
-// revision of its last write. A host may read listings and changes from the store or
+// position of its last write. A host may read listings and changes from the store or
 // from the catalog of another host.
 package catalog
 
@@ -44,34 +44,44 @@
 type Catalog struct {
 	options       Options
 	configuration *Configuration
-	// configurationRevision is the store revision that wrote the current configuration.
-	configurationRevision uint64
+	// configurationPosition is where the store wrote the current configuration, or an
+	// older one after a restore.
+	configurationPosition Position
+	// configurationOverride is set from a restore of the store until the store has the
+	// current configuration or a newer one.
+	configurationOverride bool
 	// recentConfigurations are the last adopted configurations, including the
 	// current one. They serve as bases for deltas.
 	recentConfigurations []*Configuration
 	upstreams            map[string]*Entry
-	hosts                map[string]hostEntry
-	peerKey              []byte
-	peerKeyRevision      uint64
-	// position is the revision up to which the catalog is complete; zero until
-	// the first listing is complete.
-	position uint64
-	// compactedRevision is the revision up to which the catalog may lack removals.
-	compactedRevision uint64
+	// overrides is the number of upstreams with an override.
+	overrides int
+	hosts     map[string]hostEntry
+	peerKeyState
+	// epoch is the epoch of the last merged answer.
+	epoch uint64
+	// position is the position up to which the catalog is complete. Its revision is zero
+	// until the first listing is complete.
+	position Position
+	// compactedPosition is the position up to which the catalog may lack removals.
+	compactedPosition Position
 	// confirmed is set once a listing or a watch has shown that the catalog lacks nothing
 	// before its position.
 	confirmed bool
 	// snapshot is the snapshot in the store. It is known only to hosts that read the
 	// store.
 	snapshot StoredSnapshot
-	// snapshotRevision is the store revision of the last write or removal of a snapshot.
-	snapshotRevision uint64
+	// snapshotPosition is the position of the last write or removal of a snapshot.
+	snapshotPosition Position
 	// listing is the listing that is being read; nil if there is none.
 	listing *listing
 	// lastContact is when the store last answered, directly or through other hosts.
 	lastContact time.Time
-	// recoveredAt is when the last store outage ended; zero if there was none.
+	// recoveredAt is when the last store outage ended or the store was restored; zero if
+	// there was neither.
 	recoveredAt time.Time
+	// restoredAt is when the store was last seen to be restored; zero if it never was.
+	restoredAt time.Time
 	// viewChanged is set if the view changed since the last call of TakeView.
 	viewChanged bool
 	// events are the events since the last call of TakeEvents.
@@ -82,8 +92,8 @@
 type hostEntry struct {
 	Host
 	removed bool
-	// revision is the store revision of the last registration or removal.
-	revision uint64
+	// position is the position of the last registration or removal.
+	position Position
 	// changedAt is when the registration or removal was merged.
 	changedAt time.Time
 }
@@ -110,24 +120,37 @@
 
 // Have returns the catalog's position and configuration version. From these, a source
 // determines which changes the catalog lacks.
-func (c *Catalog) Have() Have { return Have{Position: c.position, Version: c.Version()} }
+func (c *Catalog) Have() Have {
+	return Have{Position: c.position, Version: c.Version(), Overrides: c.overrides}
+}
+
+// Position returns the position up to which the catalog is complete.
+func (c *Catalog) Position() Position { return c.position }
+
+// Complete reports whether a listing has been completed.
+func (c *Catalog) Complete() bool { return c.position.Revision != 0 }
 
-// Position returns the store revision up to which the catalog is complete.
-func (c *Catalog) Position() uint64 { return c.position }
+// RestoredAt returns when the store was last seen to be restored from a copy; zero if it
+// never was.
+func (c *Catalog) RestoredAt() time.Time { return c.restoredAt }
 
 // LastContact returns when the store last answered, directly or through other hosts.
 func (c *Catalog) LastContact() time.Time { return c.lastContact }
 
-// Apply merges an update. It returns false if some change could not be merged. In that
-// case the position does not advance, and a listing is needed.
+// Apply merges an update. It returns false if some change could not be merged, or if the
+// update is of another epoch. In that case the position does not advance, and a listing
+// is needed.
 func (c *Catalog) Apply(now time.Time, update Update) bool {
+	if update.Position.Epoch != c.epoch {
+		return false
+	}
 	c.recordContact(now, update.Age)
 	complete := true
 	for i := range update.Changes {
 		complete = c.applyChange(now, &update.Changes[i]) && complete
 	}
 	if complete {
-		c.position = max(c.position, update.Position)
+		c.position = laterOf(c.position, update.Position)
 		c.confirm()
 	}
 	c.expireEntries(now)
@@ -144,14 +167,14 @@
 // StoredSnapshot returns the snapshot in the store as far as it is known.
 func (c *Catalog) StoredSnapshot() StoredSnapshot { return c.snapshot }
 
-// SetStoredSnapshot records the snapshot that the store held at the revision of its
+// SetStoredSnapshot records the snapshot that the store held at the position of its
 // write, unless a later write or removal is known.
-func (c *Catalog) SetStoredSnapshot(s StoredSnapshot) { c.setSnapshot(s, s.Revision) }
+func (c *Catalog) SetStoredSnapshot(s StoredSnapshot) { c.setSnapshot(s, s.Written) }
 
-// setSnapshot merges the write or removal of a snapshot at the revision.
-func (c *Catalog) setSnapshot(s StoredSnapshot, revision uint64) {
-	if revision > c.snapshotRevision {
-		c.snapshot, c.snapshotRevision = s, revision
+// setSnapshot merges the write or removal of a snapshot at the position.
+func (c *Catalog) setSnapshot(s StoredSnapshot, position Position) {
+	if position.After(c.snapshotPosition) {
+		c.snapshot, c.snapshotPosition = s, position
 	}
 }
 
@@ -172,63 +195,85 @@
 func (c *Catalog) applyChange(now time.Time, change *Change) bool {
 	switch {
 	case change.Delta != nil:
-		return c.adoptDelta(change.Delta, change.Revision)
+		return c.adoptDelta(change)
 	case change.Configuration != nil:
-		c.adoptConfiguration(change.Configuration, change.Revision)
+		c.adoptConfiguration(change.Configuration, change)
 	case change.Upstream != nil:
-		c.registerUpstream(now, change.Upstream, change.Revision)
+		c.registerUpstream(now, change)
 	case change.Removed != "":
 		if change.Lapsed {
 			// The sending host has seen an outage end, even if this one has not.
 			c.recoveredAt = now
 		}
-		c.unregisterUpstream(now, change.Removed, change.Revision)
+		c.unregisterUpstream(now, change)
 	case change.Host != nil:
-		c.setHost(now, hostEntry{Host: *change.Host, revision: change.Revision})
+		c.setHost(now, hostEntry{Host: *change.Host, position: change.Position})
 	case change.HostRemoved != "":
-		c.setHost(now, hostEntry{Host: Host{Name: change.HostRemoved}, removed: true, revision: change.Revision})
+		c.setHost(now, hostEntry{Host: Host{Name: change.HostRemoved}, removed: true, position: change.Position})
 	case change.Snapshot != nil:
-		c.setSnapshot(*change.Snapshot, change.Revision)
-	case change.PeerKey != nil && change.Revision > c.peerKeyRevision:
-		c.peerKey, c.peerKeyRevision = change.PeerKey, change.Revision
-		c.viewChanged = true
+		c.setSnapshot(*change.Snapshot, change.Position)
+	case change.PeerKey != nil:
+		c.setPeerKey(change.PeerKey, change.Position)
 	}
 	return true
 }
 
 // adoptConfiguration makes a configuration the current one unless the catalog has a
-// newer one. An older version at a later revision is refused with an event.
-func (c *Catalog) adoptConfiguration(configuration *Configuration, revision uint64) {
-	if revision <= c.configurationRevision {
+// newer one. An older version at a later position is refused with an event.
+func (c *Catalog) adoptConfiguration(configuration *Configuration, change *Change) {
+	position := change.Position
+	if !change.Override && !position.After(c.configurationPosition) {
 		return
 	}
 	if configuration.Version < c.Version() {
-		c.recordEvent(Event{Kind: ConfigurationRefused, Revision: revision, Version: configuration.Version, PreviousVersion: c.Version()})
+		c.recordEvent(Event{Kind: ConfigurationRefused, Position: position, Version: configuration.Version, PreviousVersion: c.Version()})
 		return
 	}
-	if configuration.Version != c.Version() {
-		c.addRecentConfiguration(configuration)
-		c.recordEvent(Event{Kind: ConfigurationAdopted, Revision: revision, Version: configuration.Version, PreviousVersion: c.Version()})
+	c.configurationOverride = change.Override
+	c.configurationPosition = laterOf(c.configurationPosition, position)
+	if configuration.Version == c.Version() {
+		return
 	}
-	c.configurationRevision = revision
+	c.addRecentConfiguration(configuration)
+	c.recordEvent(Event{Kind: ConfigurationAdopted, Position: position, Version: configuration.Version, PreviousVersion: c.Version()})
 	c.configuration = configuration
 	c.viewChanged = true
 }
 
 // registerUpstream merges an upstream's registration. Repeated registrations with
 // unchanged contents do not change the view.
-func (c *Catalog) registerUpstream(now time.Time, u *Upstream, revision uint64) {
+func (c *Catalog) registerUpstream(now time.Time, change *Change) {
+	u, position := change.Upstream, change.Position
 	e, ok := c.upstreams[u.Name]
-	if ok && revision <= e.revision {
-		return
-	}
-	if !ok {
+	switch {
+	case !ok:
 		e = &Entry{}
 		c.upstreams[u.Name] = e
+	case change.Override && e.position == position:
+		// Another host knows more than the record that both have read.
+		if e.override == nil && !e.settled && u.compare(e.RecordID) > 0 {
+			c.setOverride(now, e, e.Upstream)
+			c.setRegistration(now, e, u, position)
+		}
+		return
+	case !position.After(e.position):
+		return
+	case c.isOutdated(e, u):
+		c.keepOutdated(now, e, u, position)
+		return
 	}
+	c.clearOverride(e)
+	c.setRegistration(now, e, u, position)
+	if change.Override {
+		c.setOverride(now, e, *u)
+	}
+}
+
+// setRegistration makes the record that of the entry.
+func (c *Catalog) setRegistration(now time.Time, e *Entry, u *Upstream, position Position) {
 	if e.Presence != Registered || !sameRegistration(&e.Upstream, u) {
 		c.viewChanged = true
-		c.recordUpstreamEvent(registrationEventKind(e, u), u, revision)
+		c.recordUpstreamEvent(registrationEventKind(e, u), u, position)
 	}
 	if e.Presence != Registered {
 		e.Presence, e.PresenceSince = Registered, now
@@ -236,7 +281,8 @@
 	if u.Warmup > 0 && now.Add(u.Warmup).After(e.WarmUntil) {
 		e.WarmUntil = now.Add(u.Warmup)
 	}
-	e.Upstream, e.revision, e.departureInferred = *u, revision, false
+	e.Upstream, e.position = *u, position
+	e.departureInferred, e.beforeRestore, e.settled = false, false, false
 }
 
 // registrationEventKind returns the kind of event that a new or changed registration
@@ -264,23 +310,32 @@
 
 // unregisterUpstream merges the removal of a registration. The removal of an unknown
 // upstream is stored too, because a host that reads this one may know the upstream.
-func (c *Catalog) unregisterUpstream(now time.Time, name string, revision uint64) {
+func (c *Catalog) unregisterUpstream(now time.Time, change *Change) {
+	name, position := change.Removed, change.Position
 	e, ok := c.upstreams[name]
 	switch {
 	case !ok:
-		c.upstreams[name] = &Entry{Upstream: Upstream{Name: name}, Presence: Departed, PresenceSince: now, revision: revision}
-	case e.revision <= revision:
-		// A departure inferred by another host may carry the revision of the last
-		// registration, so equal revisions count as well.
-		c.markUnregistered(now, e, revision)
+		c.upstreams[name] = &Entry{Upstream: Upstream{Name: name, RecordID: change.LastRecord}, Presence: Departed, PresenceSince: now, position: position}
+		return
+	case e.position.After(position):
+	case change.Override:
+		c.overrideRemoved(now, e, position)
+	default:
+		// A departure inferred by another host may carry the position of the last
+		// registration, so equal positions count as well.
+		c.markUnregistered(now, e, position)
+	}
+	if e.Presence == Departed && change.LastRecord.compare(e.RecordID) > 0 {
+		e.RecordID = change.LastRecord
 	}
 }
 
-// markUnregistered records that an upstream has no registration as of the revision.
+// markUnregistered records that an upstream has no registration as of the position.
 // The upstream becomes lapsed during the grace period after an outage, and departed
 // otherwise.
-func (c *Catalog) markUnregistered(now time.Time, e *Entry, revision uint64) {
-	e.revision = revision
+func (c *Catalog) markUnregistered(now time.Time, e *Entry, position Position) {
+	c.clearOverride(e)
+	e.position, e.beforeRestore = position, false
 	if e.Presence == Departed {
 		return
 	}
@@ -289,57 +344,65 @@
 		presence = Lapsed
 	}
 	if presence != e.Presence {
-		c.setPresence(now, e, presence, revision)
+		c.setPresence(now, e, presence, position)
 	}
 }
 
-// setPresence marks an upstream as lapsed or departed as of the revision.
-func (c *Catalog) setPresence(now time.Time, e *Entry, presence Presence, revision uint64) {
+// setPresence marks an upstream as lapsed or departed as of the position.
+func (c *Catalog) setPresence(now time.Time, e *Entry, presence Presence, position Position) {
 	kind := UpstreamDeparted
 	if presence == Lapsed {
 		kind = UpstreamLapsed
 	}
-	c.recordUpstreamEvent(kind, &e.Upstream, revision)
+	c.recordUpstreamEvent(kind, &e.Upstream, position)
 	e.Presence, e.PresenceSince = presence, now
-	e.revision, e.departureInferred = revision, false
+	e.position, e.departureInferred = position, false
 	c.viewChanged = true
 }
 
-// setHost merges the registration or removal of an entry host. At equal revisions a
+// setHost merges the registration or removal of an entry host. At equal positions a
 // removal replaces a registration, because finishListing may remove a host at the
-// revision of its registration.
+// position of its registration.
 func (c *Catalog) setHost(now time.Time, h hostEntry) {
 	old, ok := c.hosts[h.Name]
-	if ok && (old.revision > h.revision || old.revision == h.revision && (old.removed || !h.removed)) {
+	if ok && (old.position.After(h.position) || old.position == h.position && (old.removed || !h.removed)) {
 		return
 	}
 	if h.removed && ok {
 		h.DataCentre = old.DataCentre
 	}
-	h.changedAt = now
+	h.changedAt, h.Registered = now, h.position
 	c.hosts[h.Name] = h
 	c.recordHostEvent(h)
 	c.viewChanged = true
 }
 
-// expireEntries marks lapsed upstreams as departed once the grace period is over. It
+// expireEntries marks lapsed upstreams as departed once the grace period is over, and
+// accepts the store's outdated records once their upstreams must have kept them. It
 // deletes upstreams that departed, and hosts that were removed, more than
 // DepartedRetention ago.
 func (c *Catalog) expireEntries(now time.Time) {
 	for name, e := range c.upstreams {
 		switch {
 		case e.Presence == Lapsed && now.Sub(c.recoveredAt) >= RecoveryGracePeriod:
-			c.setPresence(now, e, Departed, max(e.revision, c.position))
+			c.setPresence(now, e, Departed, laterOf(e.position, c.position))
 			e.departureInferred = true
+		case e.override != nil:
+			if now.Sub(e.override.since) >= outdatedRecordLimit {
+				stored := e.override.stored
+				c.clearOverride(e)
+				c.setRegistration(now, e, &stored, e.position)
+				e.settled = true
+			}
 		case e.Presence == Departed && now.Sub(e.PresenceSince) > DepartedRetention:
-			c.compactedRevision = max(c.compactedRevision, e.revision)
+			c.compactedPosition = laterOf(c.compactedPosition, e.position)
 			delete(c.upstreams, name)
 			c.viewChanged = true
 		}
 	}
 	for name, h := range c.hosts {
 		if h.removed && now.Sub(h.changedAt) > DepartedRetention {
-			c.compactedRevision = max(c.compactedRevision, h.revision)
+			c.compactedPosition = laterOf(c.compactedPosition, h.position)
 			delete(c.hosts, name)
 		}
 	}
@@ -352,7 +415,10 @@
 		return View{}, false
 	}
 	c.viewChanged = false
-	view := View{Configuration: c.configuration, Upstreams: make([]Entry, 0, len(c.upstreams)), PeerKey: c.peerKey, Partial: !c.confirmed}
+	view := View{
+		Configuration: c.configuration, Position: c.position, Upstreams: make([]Entry, 0, len(c.upstreams)), Partial: !c.confirmed,
+		PeerKey: c.peerKey, FormerPeerKey: c.formerPeerKey, LostPeerKey: c.lostPeerKey,
+	}
 	for _, name := range slices.Sorted(maps.Keys(c.upstreams)) {
 		if e := c.upstreams[name]; e.ID != 0 {
 			view.Upstreams = append(view.Upstreams, *e)
--- a/internal/catalog/catalog_test.go
+++ b/internal/catalog/catalog_test.go
@@ -10,30 +10,35 @@
 
 var start = time.Unix(1_000_000, 0)
 
+// at returns the position of the revision in the first epoch.
+func at(revision uint64) Position { return Position{Revision: revision} }
+
 func upstream(name string) *Upstream {
 	return &Upstream{ID: 1, Name: name, Service: "desk", Address: netip.MustParseAddrPort("10.0.0.1:80"), Slots: 3}
 }
 
 func registration(revision uint64, name string) Change {
-	return Change{Revision: revision, Upstream: upstream(name)}
+	return Change{Position: at(revision), Upstream: upstream(name)}
 }
 
 func drainingRegistration(revision uint64, name string) Change {
 	u := upstream(name)
 	u.Draining = true
-	return Change{Revision: revision, Upstream: u}
+	return Change{Position: at(revision), Upstream: u}
 }
 
-func removal(revision uint64, name string) Change { return Change{Revision: revision, Removed: name} }
+func removal(revision uint64, name string) Change {
+	return Change{Position: at(revision), Removed: name}
+}
 
 func configuration(revision, version uint64) Change {
-	return Change{Revision: revision, Configuration: &Configuration{Version: version}}
+	return Change{Position: at(revision), Configuration: &Configuration{Version: version}}
 }
 
 // applyListing merges a listing that consists of one page.
 func applyListing(c *Catalog, now time.Time, position uint64, changes ...Change) {
 	c.BeginListing()
-	c.AddPage(now, Page{Position: position, Changes: changes})
+	c.AddPage(now, Page{Position: at(position), Changes: changes})
 }
 
 // presenceOf returns the presence of an upstream, or zero if it is unknown.
@@ -57,7 +62,7 @@
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			c := New(Options{})
-			c.Apply(start, Update{Changes: test.changes, Position: 9})
+			c.Apply(start, Update{Changes: test.changes, Position: at(9)})
 			if got := c.Version(); got != test.want {
 				t.Errorf("version %d, want %d", got, test.want)
 			}
@@ -65,7 +70,7 @@
 	}
 	t.Run("stale listing is ignored", func(t *testing.T) {
 		c := New(Options{})
-		c.Apply(start, Update{Changes: []Change{configuration(8, 4)}, Position: 8})
+		c.Apply(start, Update{Changes: []Change{configuration(8, 4)}, Position: at(8)})
 		applyListing(c, start, 5, configuration(4, 3))
 		if got := c.Version(); got != 4 {
 			t.Errorf("version %d, want 4", got)
@@ -76,21 +81,21 @@
 func TestRemovalIsKeptUntilRetentionEnds(t *testing.T) {
 	g := NewWithT(t)
 	c := New(Options{})
-	c.Apply(start, Update{Changes: []Change{registration(3, "a"), removal(4, "a")}, Position: 4})
+	c.Apply(start, Update{Changes: []Change{registration(3, "a"), removal(4, "a")}, Position: at(4)})
 	g.Expect(presenceOf(c, "a")).To(Equal(Departed))
-	c.Apply(start, Update{Changes: []Change{registration(2, "a")}, Position: 4})
+	c.Apply(start, Update{Changes: []Change{registration(2, "a")}, Position: at(4)})
 	g.Expect(presenceOf(c, "a")).To(Equal(Departed), "an older registration must be ignored")
-	c.Apply(start, Update{Changes: []Change{registration(7, "a")}, Position: 7})
+	c.Apply(start, Update{Changes: []Change{registration(7, "a")}, Position: at(7)})
 	g.Expect(presenceOf(c, "a")).To(Equal(Registered))
-	c.Apply(start.Add(time.Second), Update{Changes: []Change{removal(8, "a")}, Position: 8})
-	c.Apply(start.Add(time.Second+DepartedRetention+time.Millisecond), Update{Position: 9})
+	c.Apply(start.Add(time.Second), Update{Changes: []Change{removal(8, "a")}, Position: at(8)})
+	c.Apply(start.Add(time.Second+DepartedRetention+time.Millisecond), Update{Position: at(9)})
 	g.Expect(presenceOf(c, "a")).To(BeZero())
 }
 
 func TestListingRemovesMissingRegistrations(t *testing.T) {
 	g := NewWithT(t)
 	c := New(Options{})
-	c.Apply(start, Update{Changes: []Change{registration(3, "a"), registration(9, "b")}, Position: 9})
+	c.Apply(start, Update{Changes: []Change{registration(3, "a"), registration(9, "b")}, Position: at(9)})
 	applyListing(c, start.Add(time.Second), 7)
 	g.Expect(presenceOf(c, "a")).To(Equal(Departed))
 	g.Expect(presenceOf(c, "b")).To(Equal(Registered), "it registered after the listing started")
@@ -99,20 +104,20 @@
 func TestListingWithSeveralPages(t *testing.T) {
 	g := NewWithT(t)
 	c := New(Options{})
-	c.Apply(start, Update{Changes: []Change{registration(3, "a"), registration(3, "b")}, Position: 3})
+	c.Apply(start, Update{Changes: []Change{registration(3, "a"), registration(3, "b")}, Position: at(3)})
 	c.BeginListing()
-	c.AddPage(start, Page{Position: 5, Next: "a", Changes: []Change{registration(3, "a")}})
+	c.AddPage(start, Page{Position: at(5), Next: "a", Changes: []Change{registration(3, "a")}})
 	g.Expect(presenceOf(c, "b")).To(Equal(Registered), "the listing is not complete")
-	c.AddPage(start, Page{Position: 6, Changes: []Change{registration(6, "c")}})
+	c.AddPage(start, Page{Position: at(6), Changes: []Change{registration(6, "c")}})
 	g.Expect(presenceOf(c, "b")).To(Equal(Departed))
 	g.Expect(presenceOf(c, "c")).To(Equal(Registered))
-	g.Expect(c.Position()).To(BeEquivalentTo(5), "changes made while the pages were read must still be fetched")
+	g.Expect(c.Position()).To(Equal(at(5)), "changes made while the pages were read must still be fetched")
 }
 
 func TestRegistrationsLapseDuringStoreOutage(t *testing.T) {
 	listAfterOutage := func() (*Catalog, time.Time) {
 		c := New(Options{OutageThreshold: 2 * time.Second})
-		c.Apply(start, Update{Changes: []Change{registration(3, "a"), drainingRegistration(4, "b")}, Position: 4})
+		c.Apply(start, Update{Changes: []Change{registration(3, "a"), drainingRegistration(4, "b")}, Position: at(4)})
 		recovered := start.Add(6 * time.Second)
 		applyListing(c, recovered, 9)
 		return c, recovered
@@ -126,17 +131,17 @@
 	t.Run("depart if not renewed", func(t *testing.T) {
 		g := NewWithT(t)
 		c, recovered := listAfterOutage()
-		c.Apply(recovered.Add(RecoveryGracePeriod/2), Update{Position: 9})
+		c.Apply(recovered.Add(RecoveryGracePeriod/2), Update{Position: at(9)})
 		g.Expect(presenceOf(c, "a")).To(Equal(Lapsed))
-		c.Apply(recovered.Add(RecoveryGracePeriod), Update{Position: 10})
+		c.Apply(recovered.Add(RecoveryGracePeriod), Update{Position: at(10)})
 		g.Expect(presenceOf(c, "a")).To(Equal(Departed))
 		g.Expect(presenceOf(c, "b")).To(Equal(Departed))
 	})
 	t.Run("are in use again once renewed", func(t *testing.T) {
 		g := NewWithT(t)
 		c, recovered := listAfterOutage()
-		c.Apply(recovered.Add(time.Second), Update{Changes: []Change{registration(12, "a")}, Position: 12})
-		c.Apply(recovered.Add(RecoveryGracePeriod), Update{Position: 13})
+		c.Apply(recovered.Add(time.Second), Update{Changes: []Change{registration(12, "a")}, Position: at(12)})
+		c.Apply(recovered.Add(RecoveryGracePeriod), Update{Position: at(13)})
 		g.Expect(presenceOf(c, "a")).To(Equal(Registered))
 	})
 }
@@ -144,13 +149,13 @@
 func TestHeartbeatDoesNotChangeView(t *testing.T) {
 	g := NewWithT(t)
 	c := New(Options{})
-	c.Apply(start, Update{Changes: []Change{configuration(1, 1), registration(3, "a")}, Position: 3})
+	c.Apply(start, Update{Changes: []Change{configuration(1, 1), registration(3, "a")}, Position: at(3)})
 	_, changed := c.TakeView()
 	g.Expect(changed).To(BeTrue())
-	c.Apply(start, Update{Changes: []Change{registration(4, "a")}, Position: 4})
+	c.Apply(start, Update{Changes: []Change{registration(4, "a")}, Position: at(4)})
 	_, changed = c.TakeView()
 	g.Expect(changed).To(BeFalse())
-	c.Apply(start, Update{Changes: []Change{drainingRegistration(5, "a")}, Position: 5})
+	c.Apply(start, Update{Changes: []Change{drainingRegistration(5, "a")}, Position: at(5)})
 	view, changed := c.TakeView()
 	g.Expect(changed).To(BeTrue())
 	g.Expect(view.Upstreams).To(HaveLen(1))
@@ -161,12 +166,12 @@
 	g := NewWithT(t)
 	c := New(Options{})
 	host := func(name string, joined uint64) Change {
-		return Change{Revision: joined, Host: &Host{Name: name, Joined: joined}}
+		return Change{Position: at(joined), Host: &Host{Name: name, Joined: joined}}
 	}
-	c.Apply(start, Update{Changes: []Change{host("z", 2), host("a", 5), host("m", 3)}, Position: 5})
+	c.Apply(start, Update{Changes: []Change{host("z", 2), host("a", 5), host("m", 3)}, Position: at(5)})
 	view, _ := c.TakeView()
 	g.Expect(hostNames(view.Hosts)).To(Equal([]string{"z", "m", "a"}))
-	c.Apply(start, Update{Changes: []Change{{Revision: 6, HostRemoved: "z"}}, Position: 6})
+	c.Apply(start, Update{Changes: []Change{{Position: at(6), HostRemoved: "z"}}, Position: at(6)})
 	view, _ = c.TakeView()
 	g.Expect(hostNames(view.Hosts)).To(Equal([]string{"m", "a"}))
 }
--- a/internal/catalog/change.go
+++ b/internal/catalog/change.go
@@ -6,16 +6,21 @@
 // one of Configuration, Delta, Upstream, Removed, Host, HostRemoved, PeerKey and
 // Snapshot is set.
 type Change struct {
-	// Revision is the store revision of the change.
-	Revision uint64
+	// Position is where the store made the change.
+	Position Position
+	// Override is set if the sending host knows better than the store, whose record at
+	// Position comes from an older copy. The change then replaces that record.
+	Override bool
 	// Configuration is a new configuration.
 	Configuration *Configuration
 	// Delta is a new configuration as a difference from an earlier one.
 	Delta *Delta
 	// Upstream is an upstream's new registration.
 	Upstream *Upstream
-	// Removed is the name of an upstream whose registration was removed.
-	Removed string
+	// Removed is the name of an upstream whose registration was removed. LastRecord
+	// identifies its last record; it is zero if the source does not know it.
+	Removed    string
+	LastRecord RecordID
 	// Lapsed is set together with Removed if the registration expired during a store
 	// outage, so that the upstream may register again.
 	Lapsed bool
@@ -31,8 +36,8 @@
 
 // StoredSnapshot describes the snapshot of a catalog in the store.
 type StoredSnapshot struct {
-	// Revision is the store revision of its write; zero if there is none.
-	Revision uint64
+	// Written is the position of its write; its revision is zero if there is none.
+	Written Position
 	// Have is the state of the catalog in it; zero if it is not valid.
 	Have
 }
@@ -40,17 +45,19 @@
 // Have describes how far a host's state is complete, so that a source sends only the
 // changes that the host lacks.
 type Have struct {
-	// Position is the store revision up to which the host's state is complete.
-	Position uint64
+	// Position is the position up to which the host's state is complete.
+	Position Position
 	// Version is the version of the host's configuration.
 	Version uint64
+	// Overrides is the number of upstreams of which the host knows more than the store.
+	Overrides int
 }
 
 // Update holds the changes up to a position.
 type Update struct {
 	Changes []Change
-	// Position is the store revision up to which the changes are complete.
-	Position uint64
+	// Position is the position up to which the changes are complete.
+	Position Position
 	// Age is the time since the store last answered, directly or through other hosts.
 	Age time.Duration
 	// Via is the name of the host that the source reads; empty if it reads the store.
@@ -60,9 +67,12 @@
 // Page is one page of a listing of all records.
 type Page struct {
 	Changes []Change
-	// Position is the store revision when the page was read. Changes after the
-	// first page's revision may or may not be in the listing.
-	Position uint64
+	// Position is the store's position when the page was read. Changes after the
+	// first page's position may or may not be in the listing.
+	Position Position
+	// Current is set if the page holds all changes that the store had acknowledged
+	// before it was read.
+	Current bool
 	// Next is the cursor of the next page; empty on the last page.
 	Next string
 	// Age is the time since the store last answered, directly or through other hosts.
--- a/internal/catalog/delta.go
+++ b/internal/catalog/delta.go
@@ -79,21 +79,22 @@
 func (c *Catalog) configurationChange(version uint64) Change {
 	for _, base := range c.recentConfigurations {
 		if base.Version == version {
-			return Change{Revision: c.configurationRevision, Delta: newDelta(base, c.configuration)}
+			return Change{Position: c.configurationPosition, Override: c.configurationOverride, Delta: newDelta(base, c.configuration)}
 		}
 	}
-	return Change{Revision: c.configurationRevision, Configuration: c.configuration}
+	return Change{Position: c.configurationPosition, Override: c.configurationOverride, Configuration: c.configuration}
 }
 
 // adoptDelta adopts the result of applying the delta to the current configuration. It
 // returns false if the current configuration is not the delta's base.
-func (c *Catalog) adoptDelta(d *Delta, revision uint64) bool {
+func (c *Catalog) adoptDelta(change *Change) bool {
+	d := change.Delta
 	if d.Version <= c.Version() {
 		return true
 	}
 	if c.configuration == nil || d.Base != c.Version() {
 		return false
 	}
-	c.adoptConfiguration(d.apply(c.configuration), revision)
+	c.adoptConfiguration(d.apply(c.configuration), change)
 	return true
 }
--- a/internal/catalog/delta_test.go
+++ b/internal/catalog/delta_test.go
@@ -41,19 +41,23 @@
 
 func TestDeltaWithUnknownBaseRequiresListing(t *testing.T) {
 	leader, follower := New(Options{}), New(Options{})
-	leader.Apply(start, Update{Changes: []Change{configuration(5, 1), configuration(6, 2)}, Position: 6})
-	update, ok := leader.ChangesSince(start, Have{Position: 5, Version: 1})
+	leader.Apply(start, Update{Changes: []Change{configuration(5, 1), configuration(6, 2)}, Position: at(6)})
+	update, ok := leader.ChangesSince(start, Have{Position: at(5), Version: 1})
 	if !ok || update.Changes[0].Delta == nil {
 		t.Fatalf("want a delta, got %+v", update)
 	}
 	if follower.Apply(start, update) {
 		t.Error("a delta was merged without its base")
 	}
-	if follower.Position() != 0 {
+	if follower.Complete() {
 		t.Error("the position advanced past a change that was not merged")
 	}
-	update, _ = leader.ChangesSince(start, Have{Position: 3, Version: 99})
-	if !follower.Apply(start, update) || follower.Version() != 2 {
-		t.Error("a host with an unknown version must get the whole configuration")
+	last := uint64(3 + maxRecentConfigurations)
+	for version := uint64(3); version <= last; version++ {
+		leader.Apply(start, Update{Changes: []Change{configuration(4+version, version)}, Position: at(4 + version)})
+	}
+	update, _ = leader.ChangesSince(start, Have{Position: at(6), Version: 2})
+	if !follower.Apply(start, update) || follower.Version() != last {
+		t.Error("a host with a version that is no longer known must get the whole configuration")
 	}
 }
--- a/internal/catalog/event.go
+++ b/internal/catalog/event.go
@@ -27,6 +27,14 @@
 	HostJoined
 	// HostLeft means that an entry host's registration was removed.
 	HostLeft
+	// StoreRestored means that the store came back from an older copy.
+	StoreRestored
+	// RecordOutdated means that the store has an older record of an upstream than the
+	// catalog, which keeps what it knows.
+	RecordOutdated
+	// PeerKeyLost means that the store came back without the peer key, or with one that
+	// had been replaced.
+	PeerKeyLost
 )
 
 var eventNames = map[EventKind]string{
@@ -40,6 +48,9 @@
 	UpstreamDeparted:     "upstream_departed",
 	HostJoined:           "host_joined",
 	HostLeft:             "host_left",
+	StoreRestored:        "store_restored",
+	RecordOutdated:       "record_outdated",
+	PeerKeyLost:          "peer_key_lost",
 }
 
 // String returns the kind's name as it appears in logs.
@@ -48,7 +59,7 @@
 // EventKinds returns all event kinds.
 func EventKinds() []EventKind {
 	kinds := make([]EventKind, 0, len(eventNames))
-	for k := ConfigurationAdopted; k <= HostLeft; k++ {
+	for k := ConfigurationAdopted; k <= PeerKeyLost; k++ {
 		kinds = append(kinds, k)
 	}
 	return kinds
@@ -57,8 +68,9 @@
 // Event describes a change to the catalog, for logging.
 type Event struct {
 	Kind EventKind
-	// Revision is the store revision of the change.
-	Revision uint64
+	// Position is where the store made the change. PreviousPosition is the position of
+	// the catalog before a StoreRestored event.
+	Position, PreviousPosition Position
 	// Version is the version of the configuration that was adopted or refused,
 	// PreviousVersion the one that was current before the event.
 	Version, PreviousVersion uint64
@@ -82,11 +94,11 @@
 // recordUpstreamEvent stores an event about an upstream. It does nothing before the
 // first listing is complete: all upstreams are new then, and the reader of the listing
 // logs the number of records in each page instead.
-func (c *Catalog) recordUpstreamEvent(kind EventKind, u *Upstream, revision uint64) {
-	if c.position == 0 {
+func (c *Catalog) recordUpstreamEvent(kind EventKind, u *Upstream, position Position) {
+	if !c.Complete() {
 		return
 	}
-	c.recordEvent(Event{Kind: kind, Revision: revision, Name: u.Name, DataCentre: u.DataCentre, Service: u.Service})
+	c.recordEvent(Event{Kind: kind, Position: position, Name: u.Name, DataCentre: u.DataCentre, Service: u.Service})
 }
 
 // recordHostEvent stores an event about an entry host. Like recordUpstreamEvent, it
@@ -96,8 +108,8 @@
 	if h.removed {
 		kind = HostLeft
 	}
-	if c.position != 0 {
-		c.recordEvent(Event{Kind: kind, Revision: h.revision, Name: h.Name, DataCentre: h.DataCentre})
+	if c.Complete() {
+		c.recordEvent(Event{Kind: kind, Position: h.position, Name: h.Name, DataCentre: h.DataCentre})
 	}
 }
 
--- a/internal/catalog/host.go
+++ b/internal/catalog/host.go
@@ -12,4 +12,7 @@
 	Bandwidth float64
 	// Joined is the store revision at which the registration was created.
 	Joined uint64
+	// Registered is the position of the registration's last write. It is set in views
+	// only.
+	Registered Position
 }
--- a/internal/catalog/listing.go
+++ b/internal/catalog/listing.go
@@ -1,14 +1,29 @@
 package catalog
 
-import "time"
+import (
+	"errors"
+	"time"
+)
+
+// ErrOutdated means that an answer is from before the last restore of the store that the
+// catalog knows of, or that the store was restored during a listing.
+var ErrOutdated = errors.New("the store was restored from a copy: read a new listing")
 
 // listing is the state of a listing that is being read one page at a time.
 type listing struct {
-	// position is the store revision of the first page.
-	position uint64
-	// upstreams and hosts are the names in the pages read so far.
+	// position is the position of the first page, and started is set once it is read.
+	position Position
+	started  bool
+	// restored is set if the listing is the first one after a restore of the store. Its
+	// pages are then kept in pending, and merged together after the last one, so that
+	// other hosts always read a catalog of one epoch.
+	restored bool
+	pending  []Page
+	// upstreams and hosts are the names in the pages merged so far, and peerKey is set
+	// if one of them holds the peer key.
 	upstreams map[string]struct{}
 	hosts     map[string]struct{}
+	peerKey   bool
 }
 
 // BeginListing starts a new listing and discards an unfinished one.
@@ -18,21 +33,52 @@
 
 // AddPage merges a page of the listing that BeginListing started. After the last page,
 // upstreams and hosts that the listing lacks are treated as removed. Such upstreams
-// become lapsed if a store outage has just ended, and departed otherwise.
-func (c *Catalog) AddPage(now time.Time, page Page) {
+// become lapsed if a store outage has just ended, and departed otherwise. AddPage returns
+// ErrOutdated, and merges nothing, if the page cannot be part of the listing.
+func (c *Catalog) AddPage(now time.Time, page Page) error {
 	l := c.listing
-	if l.position == 0 {
-		l.position = page.Position
+	if page.Position.Epoch < c.epoch || l.started && page.Position.Epoch != l.position.Epoch {
+		return ErrOutdated
+	}
+	if !l.started {
+		l.started, l.position = true, page.Position
+		l.restored = c.showsRestore(&page)
+	}
+	if l.restored {
+		l.pending = append(l.pending, page)
+		if page.Next != "" {
+			return nil
+		}
+		c.restore(now, l.position)
+		for i := range l.pending {
+			c.mergePage(now, &l.pending[i])
+		}
+		return nil
 	}
+	c.epoch = page.Position.Epoch
+	c.mergePage(now, &page)
+	return nil
+}
+
+// mergePage merges a page of the current listing.
+func (c *Catalog) mergePage(now time.Time, page *Page) {
+	l := c.listing
 	c.recordContact(now, page.Age)
 	for i := range page.Changes {
 		change := &page.Changes[i]
-		if change.Upstream != nil {
+		switch {
+		case change.Upstream != nil:
 			l.upstreams[change.Upstream.Name] = struct{}{}
+		case change.Override && change.Removed != "":
+			// The store still has the record that the sending host overrides.
+			l.upstreams[change.Removed] = struct{}{}
 		}
 		if change.Host != nil {
 			l.hosts[change.Host.Name] = struct{}{}
 		}
+		if change.PeerKey != nil {
+			l.peerKey = true
+		}
 		c.applyChange(now, change)
 	}
 	if page.Next == "" {
@@ -45,22 +91,25 @@
 }
 
 // finishListing removes upstreams and hosts that the complete listing does not contain.
-// Those with a revision later than that of the first page are kept, because they may
+// Those with a position later than that of the first page are kept, because they may
 // have been written after the page that would hold them was read.
 func (c *Catalog) finishListing(now time.Time, l *listing) {
 	c.listing = nil
 	for name, e := range c.upstreams {
-		if _, ok := l.upstreams[name]; !ok && e.revision <= l.position {
+		if _, ok := l.upstreams[name]; !ok && !e.position.After(l.position) {
 			c.markUnregistered(now, e, l.position)
 		}
 	}
 	for name, h := range c.hosts {
-		if _, ok := l.hosts[name]; !ok && !h.removed && h.revision <= l.position {
-			c.setHost(now, hostEntry{Host: h.Host, removed: true, revision: l.position})
+		if _, ok := l.hosts[name]; !ok && !h.removed && !h.position.After(l.position) {
+			c.setHost(now, hostEntry{Host: h.Host, removed: true, position: l.position})
 		}
 	}
-	c.position = max(c.position, l.position)
+	if !l.peerKey {
+		c.losePeerKey(l.position)
+	}
+	c.position = laterOf(c.position, l.position)
 	// Removals before the listing are unknown, so a host at an older position needs a
 	// listing as well.
-	c.compactedRevision = max(c.compactedRevision, l.position)
+	c.compactedPosition = laterOf(c.compactedPosition, l.position)
 }
--- a/internal/catalog/snapshot.go
+++ b/internal/catalog/snapshot.go
@@ -8,9 +8,10 @@
 
 // ChangesSince returns the changes that another host with the given state lacks. It
 // returns false if the catalog may no longer hold all removals after that state's
-// position, or if it has had no contact with the store yet.
+// position, if that position is in another epoch, or if the catalog has had no contact
+// with the store yet.
 func (c *Catalog) ChangesSince(now time.Time, have Have) (Update, bool) {
-	if have.Position < c.compactedRevision || c.lastContact.IsZero() {
+	if have.Position.Epoch != c.position.Epoch || c.compactedPosition.After(have.Position) || c.lastContact.IsZero() {
 		return Update{}, false
 	}
 	return Update{Changes: c.changesAfter(now, have), Position: c.position, Age: now.Sub(c.lastContact)}, true
@@ -21,25 +22,27 @@
 	return Page{Changes: c.changesAfter(now, Have{}), Position: c.position, Age: now.Sub(c.lastContact)}
 }
 
-// changesAfter returns the records that a host with the given state lacks.
+// changesAfter returns the records that a host with the given state lacks. They include
+// all overrides, of which the store's positions tell nothing.
 func (c *Catalog) changesAfter(now time.Time, have Have) []Change {
 	position := have.Position
 	var changes []Change
-	if c.peerKey != nil && c.peerKeyRevision > position {
-		changes = append(changes, Change{Revision: c.peerKeyRevision, PeerKey: c.peerKey})
+	if c.peerKey != nil && c.peerKeyPosition.After(position) {
+		changes = append(changes, Change{Position: c.peerKeyPosition, PeerKey: c.peerKey})
 	}
-	if c.configuration != nil && c.configurationRevision > position {
+	if have.Version < c.Version() {
 		changes = append(changes, c.configurationChange(have.Version))
 	}
 	for _, name := range slices.Sorted(maps.Keys(c.hosts)) {
-		if h := c.hosts[name]; h.revision > position {
+		if h := c.hosts[name]; h.position.After(position) {
 			changes = append(changes, hostChange(h))
 		}
 	}
 	for _, name := range slices.Sorted(maps.Keys(c.upstreams)) {
-		// An inferred departure has no store revision of its own. It may carry the
+		// An inferred departure has no store position of its own. It may carry the
 		// position that the other host has reached without it.
-		if e := c.upstreams[name]; e.revision > position || e.departureInferred && e.revision == position {
+		e := c.upstreams[name]
+		if e.position.After(position) || e.departureInferred && e.position == position || e.override != nil {
 			changes = append(changes, upstreamChange(now, e))
 		}
 	}
@@ -49,19 +52,20 @@
 // hostChange returns the entry as a change for another host.
 func hostChange(h hostEntry) Change {
 	if h.removed {
-		return Change{Revision: h.revision, HostRemoved: h.Name}
+		return Change{Position: h.position, HostRemoved: h.Name}
 	}
 	host := h.Host
-	return Change{Revision: h.revision, Host: &host}
+	host.Registered = Position{} // the same as the position of the change
+	return Change{Position: h.position, Host: &host}
 }
 
 // upstreamChange returns the entry as a change for another host. Its Warmup is the time
 // that remains, because the receiver counts it from the receipt of the change.
 func upstreamChange(now time.Time, e *Entry) Change {
 	if e.Presence != Registered {
-		return Change{Revision: e.revision, Removed: e.Name, Lapsed: e.Presence == Lapsed}
+		return Change{Position: e.position, Override: e.override != nil, Removed: e.Name, LastRecord: e.RecordID, Lapsed: e.Presence == Lapsed}
 	}
 	u := e.Upstream
 	u.Warmup = max(0, e.WarmUntil.Sub(now).Truncate(time.Millisecond))
-	return Change{Revision: e.revision, Upstream: &u}
+	return Change{Position: e.position, Override: e.override != nil, Upstream: &u}
 }
--- a/internal/catalog/upstream.go
+++ b/internal/catalog/upstream.go
@@ -1,6 +1,7 @@
 package catalog
 
 import (
+	"cmp"
 	"net/netip"
 	"time"
 )
@@ -23,7 +24,20 @@
 	Draining bool
 	// Warmup is how long the upstream stays slow after this registration was received.
 	Warmup time.Duration
+	RecordID
+}
+
+// RecordID identifies a record among those that an upstream has written.
+type RecordID struct {
 	// Started is the start time of the process, which distinguishes processes with
 	// the same ID; zero if unknown.
 	Started time.Time
+	// Sequence orders the records of the process.
+	Sequence uint64
+}
+
+// compare compares two records of the same upstream by the order in which the upstream
+// wrote them, which does not depend on the store.
+func (r RecordID) compare(other RecordID) int {
+	return cmp.Or(r.Started.Compare(other.Started), cmp.Compare(r.Sequence, other.Sequence))
 }
--- a/internal/catalog/view.go
+++ b/internal/catalog/view.go
@@ -29,12 +29,36 @@
 	PresenceSince time.Time
 	// WarmUntil is when the upstream reaches full speed.
 	WarmUntil time.Time
-	// revision is the store revision of the last registration or removal. An inferred
+	// position is where the store last registered or removed the upstream. An inferred
 	// departure has the catalog's position if that is later.
-	revision uint64
+	position Position
 	// departureInferred is set if the catalog marked the upstream as departed after
 	// the grace period, without a removal in the store.
 	departureInferred bool
+	// beforeRestore is set from the restore of the store until the store is known to
+	// have a record of the upstream, or none.
+	beforeRestore bool
+	// override is set while the catalog knows more of the upstream than the store.
+	override *override
+	// settled is set once an override has ended because the store kept its record. The
+	// overrides of other hosts for that record are then ignored.
+	settled bool
+}
+
+// override describes an older record that the store has of an upstream. The record comes
+// from the copy from which the store was restored.
+type override struct {
+	// stored is the record in the store.
+	stored Upstream
+	// since is when the catalog first saw it.
+	since time.Time
+}
+
+// LostPeerKey describes what the store has instead of the peer key.
+type LostPeerKey struct {
+	// Stored is the position of the replaced key that the store has; its revision is zero
+	// if the store has none.
+	Stored Position
 }
 
 // View is a read-only copy of a catalog's contents.
@@ -44,8 +68,16 @@
 	Upstreams []Entry
 	// Hosts are sorted by descending bandwidth, then by the order in which they joined.
 	Hosts []Host
+	// Position is the position up to which the view is complete.
+	Position Position
 	// PeerKey is the secret shared by all entry hosts; nil until it is known.
 	PeerKey []byte
+	// FormerPeerKey is the peer key that the store lost in a restore, after which another
+	// host created PeerKey; nil if there is none. Hosts that have not learned of it yet
+	// still use the former key.
+	FormerPeerKey []byte
+	// LostPeerKey is set if PeerKey has to be written to the store again.
+	LostPeerKey *LostPeerKey
 	// Partial is set until the first listing is complete, or a snapshot that was read
 	// instead is confirmed. The view may then lack routes and upstreams.
 	Partial bool
--- a/internal/catalogrpc/catalogrpc_test.go
+++ b/internal/catalogrpc/catalogrpc_test.go
@@ -28,10 +28,19 @@
 	current catalog.Update
 	changed chan struct{}
 	known   bool
+	// followers are the states that the followers told, by name.
+	followers map[string]catalog.Have
 }
 
 func (c *fakeCatalog) Snapshot() (catalog.Page, bool) { return c.page, c.ready }
 
+func (c *fakeCatalog) NoteFollower(name string, have catalog.Have) {
+	if c.followers == nil {
+		c.followers = make(map[string]catalog.Have)
+	}
+	c.followers[name] = have
+}
+
 func (c *fakeCatalog) ChangesSince(catalog.Have) (catalog.Update, <-chan struct{}, bool) {
 	select {
 	case c.current = <-c.updates:
@@ -40,27 +49,34 @@
 	return c.current, c.changed, c.known
 }
 
+// issueTLS returns the credentials of the named host.
+func issueTLS(t *testing.T, peerKey, formerKey []byte, name string) *peer.TLS {
+	t.Helper()
+	sources, err := registration.IssueKeys(peerKey, formerKey, peer.Identity{Host: host.ID(name), DataCentre: "a"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	credentials, err := peer.LoadTLS(sources)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return credentials
+}
+
 // newConnectedSource returns a source that reads the catalog through a server on a
 // loopback address, over TLS.
 func newConnectedSource(t *testing.T, provider CatalogProvider) *Source {
 	t.Helper()
 	peerKey := registration.NewPeerKey()
-	issueTLS := func(name string) *peer.TLS {
-		config, err := registration.IssueTLS(peerKey, peer.Identity{Host: host.ID(name), DataCentre: "a"})
-		if err != nil {
-			t.Fatal(err)
-		}
-		return config
-	}
-	server, err := peer.NewServer(peer.ServerOptions{Self: "parent", Listen: loopback, TLS: issueTLS("parent"), Logger: zerolog.Nop()})
+	server, err := peer.NewServer(peer.ServerOptions{Self: "parent", Listen: loopback, TLS: issueTLS(t, peerKey, nil, "parent"), Logger: zerolog.Nop()})
 	if err != nil {
 		t.Fatal(err)
 	}
-	server.Register(ServiceName, func(host.ID) any { return NewService(provider) })
+	server.Register(ServiceName, func(caller host.ID) any { return NewService(provider, caller) })
 	ctx, cancel := context.WithCancel(context.Background())
 	stopped := make(chan error, 1)
 	go func() { stopped <- server.Run(ctx) }()
-	client := peer.NewClient(peer.ClientOptions{Self: "child", TLS: issueTLS("child"), Logger: zerolog.Nop()})
+	client := peer.NewClient(peer.ClientOptions{Self: "child", TLS: issueTLS(t, peerKey, nil, "child"), Logger: zerolog.Nop()})
 	t.Cleanup(func() {
 		_ = client.Close()
 		cancel()
@@ -79,9 +95,9 @@
 	_, err := source.List(ctx, "", true)
 	g.Expect(err).To(MatchError(ErrNotReady))
 	c.ready = true
-	c.page = catalog.Page{Position: 9, Age: time.Second, Changes: []catalog.Change{
-		{Revision: 3, Configuration: &catalog.Configuration{Version: 4, Routes: []catalog.Route{{Name: "r", Address: loopback, Shares: []catalog.Share{{Service: "s", Weight: 1}}}}}},
-		{Revision: 8, Upstream: &catalog.Upstream{ID: 5, Name: "i-5", Address: loopback, Started: time.UnixMilli(77)}},
+	c.page = catalog.Page{Position: at(9), Age: time.Second, Changes: []catalog.Change{
+		{Position: at(3), Configuration: &catalog.Configuration{Version: 4, Routes: []catalog.Route{{Name: "r", Address: loopback, Shares: []catalog.Share{{Service: "s", Weight: 1}}}}}},
+		{Position: at(8), Upstream: &catalog.Upstream{ID: 5, Name: "i-5", Address: loopback, RecordID: catalog.RecordID{Started: time.UnixMilli(77)}}},
 	}}
 	page, err := source.List(ctx, "", true)
 	g.Expect(err).NotTo(HaveOccurred())
@@ -90,11 +106,14 @@
 	g.Expect(page.Age).To(Equal(time.Second))
 }
 
-func haveAt(position uint64) catalog.Have { return catalog.Have{Position: position} }
+// at returns the position of the revision in the first epoch.
+func at(revision uint64) catalog.Position { return catalog.Position{Revision: revision} }
+
+func haveAt(position uint64) catalog.Have { return catalog.Have{Position: at(position)} }
 
 func TestPackCompressesManyRoutes(t *testing.T) {
 	g := NewWithT(t)
-	page := catalog.Page{Changes: []catalog.Change{{Revision: 1, Configuration: &catalog.Configuration{Version: 1}}}}
+	page := catalog.Page{Changes: []catalog.Change{{Position: at(1), Configuration: &catalog.Configuration{Version: 1}}}}
 	for port := range uint16(1400) {
 		page.Changes[0].Configuration.Routes = append(page.Changes[0].Configuration.Routes, catalog.Route{
 			Name: fmt.Sprintf("r-%x", uint32(port)*2654435761), Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{198, 18, byte(port >> 8), byte(port)}), 443),
@@ -119,12 +138,12 @@
 	g.Expect(errors.Is(err, feed.ErrCompacted)).To(BeTrue())
 
 	c.known = true
-	c.current = catalog.Update{Position: 4, Changes: []catalog.Change{{Revision: 3, Removed: "u"}}}
+	c.current = catalog.Update{Position: at(4), Changes: []catalog.Change{{Position: at(3), Removed: "u"}}}
 	update, err := source.Watch(ctx, haveAt(3), time.Millisecond)
 	g.Expect(err).NotTo(HaveOccurred())
-	g.Expect(update.Position).To(BeEquivalentTo(4), "a watch without new changes must end after its wait")
+	g.Expect(update.Position).To(Equal(at(4)), "a watch without new changes must end after its wait")
 
-	c.updates <- catalog.Update{Position: 6, Changes: []catalog.Change{{Revision: 6, Removed: "u"}}}
+	c.updates <- catalog.Update{Position: at(6), Changes: []catalog.Change{{Position: at(6), Removed: "u"}}}
 	update, err = source.Watch(ctx, haveAt(4), time.Hour)
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(update.Changes).To(HaveLen(1), "a watch must return existing changes at once")
@@ -137,18 +156,87 @@
 		}
 		answered <- update
 	}()
-	c.updates <- catalog.Update{Position: 8, Changes: []catalog.Change{{Revision: 8, Removed: "v"}}}
+	c.updates <- catalog.Update{Position: at(8), Changes: []catalog.Change{{Position: at(8), Removed: "v"}}}
 	close(c.changed)
-	g.Expect((<-answered).Position).To(BeEquivalentTo(8))
+	g.Expect((<-answered).Position).To(Equal(at(8)))
 }
 
 func TestHostWithDifferentPeerKeyIsRefused(t *testing.T) {
 	g := NewWithT(t)
 	source := newConnectedSource(t, &fakeCatalog{ready: true})
-	untrusted, err := registration.IssueTLS(registration.NewPeerKey(), peer.Identity{Host: "stranger", DataCentre: "a"})
-	g.Expect(err).NotTo(HaveOccurred())
+	untrusted := issueTLS(t, registration.NewPeerKey(), nil, "stranger")
 	client := peer.NewClient(peer.ClientOptions{Self: "stranger", TLS: untrusted, Logger: zerolog.Nop()})
 	defer client.Close()
-	_, err = NewSource(client, source.address).List(context.Background(), "", false)
+	_, err := NewSource(client, source.address).List(context.Background(), "", false)
 	g.Expect(err).To(HaveOccurred())
 }
+
+// TestHostsAgreeOnAnotherPeerKey covers a peer key that a restored store has lost and that a
+// host which has started since created anew: hosts with the new key accept those that have
+// only the former one, and all can call each other once they have replaced it.
+func TestHostsAgreeOnAnotherPeerKey(t *testing.T) {
+	g := NewWithT(t)
+	former, current := registration.NewPeerKey(), registration.NewPeerKey()
+	server, err := peer.NewServer(peer.ServerOptions{Self: "parent", Listen: loopback, TLS: issueTLS(t, current, former, "parent"), Logger: zerolog.Nop()})
+	g.Expect(err).NotTo(HaveOccurred())
+	server.Register(ServiceName, func(caller host.ID) any { return NewService(&fakeCatalog{ready: true}, caller) })
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- server.Run(ctx) }()
+	defer func() {
+		cancel()
+		<-done
+	}()
+	credentials := issueTLS(t, former, nil, "child")
+	call := func() error {
+		client := peer.NewClient(peer.ClientOptions{Self: "child", TLS: credentials, Logger: zerolog.Nop()})
+		defer client.Close()
+		_, err := NewSource(client, server.Addr()).List(ctx, "", false)
+		return err
+	}
+	g.Expect(call()).NotTo(Succeed(), "the child does not trust the new key yet")
+	sources, err := registration.IssueKeys(current, former, credentials.Identity())
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(credentials.Replace(sources)).To(Succeed())
+	g.Expect(call()).To(Succeed())
+	other, err := registration.IssueKeys(current, nil, peer.Identity{Host: "other", DataCentre: "a"})
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(credentials.Replace(other)).NotTo(Succeed())
+	g.Expect(call()).To(Succeed(), "keys that are refused replace nothing")
+}
+
+func TestFollowerAfterARestore(t *testing.T) {
+	g := NewWithT(t)
+	c := &fakeCatalog{current: catalog.Update{Position: at(9)}}
+	source := newConnectedSource(t, c)
+	ahead := catalog.Have{Position: catalog.Position{Epoch: 1, Revision: 5}, Version: 7, Overrides: 2}
+	_, err := source.Watch(context.Background(), ahead, time.Second)
+	g.Expect(err).To(MatchError(feed.ErrBehind), "the follower must not read a listing of an earlier epoch")
+	g.Expect(c.followers).To(Equal(map[string]catalog.Have{"child": ahead}))
+	c.current.Position.Epoch = 2
+	_, err = source.Watch(context.Background(), ahead, time.Second)
+	g.Expect(err).To(MatchError(feed.ErrCompacted))
+}
+
+// TestOverridesDoNotEndAWatch checks that only what the follower lacks ends its watch.
+func TestOverridesDoNotEndAWatch(t *testing.T) {
+	tests := []struct {
+		name   string
+		change catalog.Change
+		ends   bool
+	}{
+		{"an override of an upstream", catalog.Change{Position: at(3), Override: true, Removed: "u"}, false},
+		{"an override of the configuration", catalog.Change{Position: at(0), Override: true, Configuration: &catalog.Configuration{Version: 2}}, true},
+		{"a configuration at an earlier position", catalog.Change{Position: at(3), Configuration: &catalog.Configuration{Version: 2}}, false},
+		{"a later change", catalog.Change{Position: at(5), Removed: "u"}, true},
+		{"a change of a later epoch", catalog.Change{Position: catalog.Position{Epoch: 1, Revision: 2}, Removed: "u"}, true},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			update := catalog.Update{Position: at(9), Changes: []catalog.Change{test.change}}
+			if got := hasNewChanges(&update, haveAt(4)); got != test.ends {
+				t.Errorf("got %t, want %t", got, test.ends)
+			}
+		})
+	}
+}
--- a/internal/catalogrpc/fuzz_test.go
+++ b/internal/catalogrpc/fuzz_test.go
@@ -15,14 +15,14 @@
 func FuzzListReply(f *testing.F) {
 	address := netip.MustParseAddrPort("198.18.0.1:443")
 	pages := []catalog.Page{
-		{Position: 4, Changes: []catalog.Change{
-			{Revision: 1, Configuration: &catalog.Configuration{Version: 1, Routes: []catalog.Route{{Name: "r", Address: address, Shares: []catalog.Share{{Service: "desk", Weight: 1}}}}}},
-			{Revision: 2, Upstream: &catalog.Upstream{ID: 1, Name: "i-1", Service: "desk", Address: address, Slots: 1}},
-			{Revision: 3, Host: &catalog.Host{Name: "h", DataCentre: "a", Peer: address}},
+		{Position: at(4), Changes: []catalog.Change{
+			{Position: at(1), Configuration: &catalog.Configuration{Version: 1, Routes: []catalog.Route{{Name: "r", Address: address, Shares: []catalog.Share{{Service: "desk", Weight: 1}}}}}},
+			{Position: at(2), Upstream: &catalog.Upstream{ID: 1, Name: "i-1", Service: "desk", Address: address, Slots: 1}},
+			{Position: at(3), Host: &catalog.Host{Name: "h", DataCentre: "a", Peer: address}},
 		}},
-		{Position: 4, Changes: []catalog.Change{{Revision: 1, Configuration: &catalog.Configuration{Version: 1, Routes: []catalog.Route{{Name: "r", Address: address}}}}}},
-		{Position: 4, Changes: []catalog.Change{{Revision: 1, Configuration: &catalog.Configuration{Version: 1, Routes: []catalog.Route{{Name: "r", Address: address, Shares: []catalog.Share{{Service: "a"}, {Service: "b"}}}}}}}},
-		{Position: 4, Changes: []catalog.Change{{Revision: 1, Delta: &catalog.Delta{Base: 1, Version: 2}}, {}}},
+		{Position: at(4), Changes: []catalog.Change{{Position: at(1), Configuration: &catalog.Configuration{Version: 1, Routes: []catalog.Route{{Name: "r", Address: address}}}}}},
+		{Position: at(4), Changes: []catalog.Change{{Position: at(1), Configuration: &catalog.Configuration{Version: 1, Routes: []catalog.Route{{Name: "r", Address: address, Shares: []catalog.Share{{Service: "a"}, {Service: "b"}}}}}}}},
+		{Position: at(4), Changes: []catalog.Change{{Position: at(1), Delta: &catalog.Delta{Base: 1, Version: 2}}, {}}},
 	}
 	for i := range pages {
 		packed, err := gobpack.Pack(&pages[i])
--- a/internal/catalogrpc/messages.go
+++ b/internal/catalogrpc/messages.go
@@ -42,6 +42,8 @@
 	// Known is false if the serving host cannot provide all changes after Have, so
 	// that the requesting host needs a listing.
 	Known bool
+	// Behind is true if the serving host has not seen the last restore of the store.
+	Behind bool
 	// Packed is a catalog.Update encoded by gobpack.Pack.
 	Packed []byte
 }
--- a/internal/catalogrpc/service.go
+++ b/internal/catalogrpc/service.go
@@ -5,6 +5,7 @@
 
 	"github.com/oatlatch/oatlatch/internal/catalog"
 	"github.com/oatlatch/oatlatch/internal/gobpack"
+	"github.com/oatlatch/oatlatch/internal/host"
 )
 
 // maxWait is the maximum time that a watch waits, even if WatchArgs.Wait is longer.
@@ -18,15 +19,21 @@
 	// channel that is closed at the next change. It returns false if the host needs a
 	// listing instead.
 	ChangesSince(have catalog.Have) (catalog.Update, <-chan struct{}, bool)
+	// NoteFollower records the state of a host that reads this one.
+	NoteFollower(name string, have catalog.Have)
 }
 
-// Service is the net/rpc receiver that serves a catalog to other hosts.
+// Service is the net/rpc receiver that serves a catalog to another host.
 type Service struct {
 	catalog CatalogProvider
+	// follower is the host that calls.
+	follower host.ID
 }
 
-// NewService returns a service for the provider's catalog.
-func NewService(provider CatalogProvider) *Service { return &Service{catalog: provider} }
+// NewService returns a service of the provider's catalog for the calls of the follower.
+func NewService(provider CatalogProvider, follower host.ID) *Service {
+	return &Service{catalog: provider, follower: follower}
+}
 
 // List returns the whole catalog.
 func (s *Service) List(_ ListArgs, reply *ListReply) error {
@@ -43,8 +50,9 @@
 // Watch returns the changes after args.Have. If there are none, it waits for the next
 // change for up to args.Wait, but at most for maxWait.
 func (s *Service) Watch(args *WatchArgs, reply *WatchReply) error {
+	s.catalog.NoteFollower(string(s.follower), args.Have)
 	update, changed, known := s.catalog.ChangesSince(args.Have)
-	if known && !hasNewChanges(&update, args.Have.Position) {
+	if known && !hasNewChanges(&update, args.Have) {
 		timer := time.NewTimer(min(max(0, args.Wait), maxWait))
 		defer timer.Stop()
 		select {
@@ -56,6 +64,7 @@
 		update, _, known = s.catalog.ChangesSince(args.Have)
 	}
 	if !known {
+		reply.Behind = args.Have.Position.Epoch > update.Position.Epoch
 		return nil
 	}
 	var err error
@@ -64,12 +73,14 @@
 	return err
 }
 
-// hasNewChanges reports whether the update has a change after the position. The update
-// may also repeat inferred departures at the position itself. They don't count, because
-// the requesting host may have received them before.
-func hasNewChanges(update *catalog.Update, position uint64) bool {
+// hasNewChanges reports whether the update has a change that a host with the given state
+// lacks. The update may also repeat inferred departures at the host's position, and
+// overrides of upstreams. They don't count, because the host may have received them before.
+func hasNewChanges(update *catalog.Update, have catalog.Have) bool {
 	for i := range update.Changes {
-		if update.Changes[i].Revision > position {
+		change := &update.Changes[i]
+		isConfiguration := change.Configuration != nil || change.Delta != nil
+		if change.Position.After(have.Position) || change.Override && isConfiguration {
 			return true
 		}
 	}
--- a/internal/catalogrpc/source.go
+++ b/internal/catalogrpc/source.go
@@ -49,13 +49,17 @@
 }
 
 // Watch implements feed.Source. It returns feed.ErrCompacted if the other host cannot
-// provide all changes after the given state.
+// provide all changes after the given state, and feed.ErrBehind if it has not seen the last
+// restore of the store.
 func (s *Source) Watch(ctx context.Context, have catalog.Have, wait time.Duration) (catalog.Update, error) {
 	var reply WatchReply
 	args := &WatchArgs{Have: have, Wait: wait}
 	if err := s.client.CallAddress(ctx, s.address, ServiceName+".Watch", args, &reply); err != nil {
 		return catalog.Update{}, err
 	}
+	if reply.Behind {
+		return catalog.Update{}, feed.ErrBehind
+	}
 	if !reply.Known {
 		return catalog.Update{}, feed.ErrCompacted
 	}
--- a/internal/edge/host.go
+++ b/internal/edge/host.go
@@ -132,7 +132,7 @@
 func (h *Host) applyView(view catalog.View) {
 	h.engine.SetView(h.options.Now(), view)
 	h.forwarder.ReleaseHeld()
-	h.peers.setPeerKey(view.PeerKey)
+	h.peers.setView(&view)
 	h.snapshots.setView(&view, h.options.Settings.Host.DataCentre)
 	if h.serving.CompareAndSwap(false, true) {
 		h.options.Logger.Info().Uint64("version", view.Configuration.Version).Int("upstreams", len(view.Upstreams)).
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"math/rand/v2"
 	"sync/atomic"
 	"time"
 
@@ -18,18 +17,8 @@
 	"github.com/oatlatch/oatlatch/internal/registration"
 )
 
-const (
-	// maxPeerKeyDelay is the maximum random delay before the first attempt to create the
-	// peer key. Another host may create the key during the delay.
-	maxPeerKeyDelay = time.Second
-	// peerKeyRetryInterval is the time between attempts to create the peer key.
-	peerKeyRetryInterval = 3 * time.Second
-	// peerIdleTimeout is the time after which an unused connection between hosts is
-	// closed.
-	peerIdleTimeout = 10 * time.Second
-	// peerKeyTimeout is the time limit of one attempt to create the peer key.
-	peerKeyTimeout = 2 * time.Second
-)
+// peerIdleTimeout is the time after which an unused connection between hosts is closed.
+const peerIdleTimeout = 10 * time.Second
 
 // peers runs the peer server, the peer client and this host's registration. They need
 // the peer key, a secret that all hosts share, and start once it is known.
@@ -38,9 +27,11 @@
 	registry prometheus.Registerer
 	// catalog is served to other hosts. It is set before run.
 	catalog catalogrpc.CatalogProvider
-	// peerKey receives the key once, when peerKeySet becomes true.
-	peerKey    chan []byte
-	peerKeySet atomic.Bool
+	// keys passes the peer keys to use, and lostKeys those to write to the store again.
+	keys     latest[peerKeys]
+	lostKeys latest[lostPeerKey]
+	// epoch is the epoch of the last view, which setView alone uses.
+	epoch uint64
 	// client is nil until the peer key is known.
 	client atomic.Pointer[peer.Client]
 	// registrar is nil until the peer key is known.
@@ -51,15 +42,35 @@
 }
 
 func newPeers(options Options, registry prometheus.Registerer) *peers {
-	return &peers{options: options, registry: registry, peerKey: make(chan []byte, 1), unregisterRequested: make(chan struct{})}
+	return &peers{
+		options: options, registry: registry, keys: newLatest[peerKeys](), lostKeys: newLatest[lostPeerKey](),
+		unregisterRequested: make(chan struct{}),
+	}
 }
 
-// setPeerKey passes the peer key to awaitPeerKey. It ignores nil and every key after
-// the first.
-func (p *peers) setPeerKey(key []byte) {
-	if key != nil && p.peerKeySet.CompareAndSwap(false, true) {
-		p.peerKey <- key
+// setView passes the peer key, and after a restore of the store this host's registration
+// in it. Only one goroutine may call it.
+func (p *peers) setView(view *catalog.View) {
+	if view.PeerKey != nil {
+		p.keys.set(peerKeys{current: view.PeerKey, former: view.FormerPeerKey})
+	}
+	var lost lostPeerKey
+	if view.LostPeerKey != nil {
+		lost = lostPeerKey{key: view.PeerKey, stored: view.LostPeerKey.Stored}
+	}
+	p.lostKeys.set(lost)
+	registrar := p.registrar.Load()
+	if view.Position.Epoch == p.epoch || registrar == nil {
+		return
 	}
+	p.epoch = view.Position.Epoch
+	restored := registration.Restored{Epoch: p.epoch}
+	for i := range view.Hosts {
+		if view.Hosts[i].Name == p.options.Settings.Host.ID {
+			restored.Registered = view.Hosts[i].Registered
+		}
+	}
+	registrar.StoreRestored(restored)
 }
 
 // feedSource returns a source that reads the catalog from another host, or nil
@@ -72,23 +83,23 @@
 	return catalogrpc.NewSource(client, h.Peer)
 }
 
-// lease returns the lease of this host's registration, or 0 while it has none.
-func (p *peers) lease() uint64 {
+// lease returns the lease of this host's registration; its ID is 0 while there is none.
+func (p *peers) lease() registration.Lease {
 	registrar := p.registrar.Load()
 	if registrar == nil {
-		return 0
+		return registration.Lease{}
 	}
-	return uint64(registrar.Lease())
+	return registrar.Lease()
 }
 
 // run serves other hosts until ctx is cancelled. It logs a failure and returns nil,
 // because the host can still serve callers and read the store directly.
 func (p *peers) run(ctx context.Context) error {
-	key, err := p.awaitPeerKey(ctx)
+	keys, err := p.awaitPeerKey(ctx)
 	if err != nil {
 		return nil // ctx was cancelled
 	}
-	if err := p.serve(ctx, key); err != nil {
+	if err := p.serve(ctx, keys); err != nil {
 		p.options.Logger.Error().Err(err).Msg("peers_unavailable")
 	}
 	return nil
@@ -96,9 +107,13 @@
 
 // serve answers calls of other hosts, creates the client for calls to them and keeps
 // this host registered until unregister is called.
-func (p *peers) serve(ctx context.Context, peerKey []byte) error {
+func (p *peers) serve(ctx context.Context, keys peerKeys) error {
 	s := &p.options.Settings
-	credentials, err := registration.IssueTLS(peerKey, peer.Identity{Host: host.ID(s.Host.ID), DataCentre: s.Host.DataCentre})
+	sources, err := p.issueKeys(keys)
+	if err != nil {
+		return err
+	}
+	credentials, err := peer.LoadTLS(sources)
 	if err != nil {
 		return err
 	}
@@ -109,7 +124,7 @@
 	if err != nil {
 		return fmt.Errorf("settings:listen.peer: %w", err)
 	}
-	server.Register(catalogrpc.ServiceName, func(host.ID) any { return catalogrpc.NewService(p.catalog) })
+	server.Register(catalogrpc.ServiceName, func(caller host.ID) any { return catalogrpc.NewService(p.catalog, caller) })
 	client := peer.NewClient(peer.ClientOptions{
 		Self: host.ID(s.Host.ID), TLS: credentials, Logger: p.options.Logger, Registerer: p.registry, Now: p.options.Now,
 		Limits: peer.Limits{IdleTimeout: peerIdleTimeout},
@@ -125,6 +140,8 @@
 	registrarCtx, stopRegistrar := context.WithCancel(groupCtx)
 	defer stopRegistrar()
 	group.Go(func() error { return registrar.Run(registrarCtx) })
+	group.Go(func() error { return p.followKeys(groupCtx, credentials) })
+	group.Go(func() error { return p.restoreKeys(groupCtx) })
 	group.Go(func() error {
 		select {
 		case <-p.unregisterRequested:
@@ -141,33 +158,3 @@
 // unregister starts the removal of this host's registration. The host still answers
 // calls. It must be called at most once.
 func (p *peers) unregister() { close(p.unregisterRequested) }
-
-// awaitPeerKey waits for the peer key and creates it if no other host does. The first
-// attempt comes after a random delay so that few hosts attempt it.
-func (p *peers) awaitPeerKey(ctx context.Context) ([]byte, error) {
-	delay := time.Duration(rand.Int64N(int64(maxPeerKeyDelay)))
-	for {
-		timer := time.NewTimer(delay)
-		select {
-		case <-ctx.Done():
-			timer.Stop()
-			return nil, ctx.Err()
-		case key := <-p.peerKey:
-			timer.Stop()
-			return key, nil
-		case <-timer.C:
-		}
-		p.createPeerKey(ctx)
-		delay = peerKeyRetryInterval
-	}
-}
-
-// createPeerKey writes a peer key to the store unless the store has one. Whichever key
-// the store then holds arrives through the feed, in setPeerKey.
-func (p *peers) createPeerKey(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, peerKeyTimeout)
-	defer cancel()
-	if err := p.options.Registration.CreatePeerKey(ctx, registration.NewPeerKey()); err != nil {
-		p.options.Logger.Warn().Err(err).Msg("peer_key_not_written")
-	}
-}
--- a/internal/edge/snapshot_publisher.go
+++ b/internal/edge/snapshot_publisher.go
@@ -9,6 +9,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/oatlatch/oatlatch/internal/catalog"
+	"github.com/oatlatch/oatlatch/internal/registration"
 	"github.com/oatlatch/oatlatch/internal/snapshot"
 )
 
@@ -46,10 +47,10 @@
 	// store is nil if there is no store for snapshots.
 	store    snapshot.Store
 	schedule *snapshot.Schedule
-	// lease returns the lease of the host's registration, or 0 while it has none. The
-	// snapshot is removed with the registration of the host that wrote it, so hosts that
-	// start never read one of long ago.
-	lease  func() uint64
+	// lease returns the lease of the host's registration; its ID is 0 while there is none.
+	// The snapshot is removed when the lease ends, so hosts that start never read one of
+	// long ago.
+	lease  func() registration.Lease
 	now    func() time.Time
 	logger zerolog.Logger
 	// view is nil until the peer key is known.
@@ -88,10 +89,13 @@
 // publishIfDue writes a snapshot if one is due.
 func (p *snapshotPublisher) publishIfDue(ctx context.Context) {
 	view, lease := p.view.Load(), p.lease()
-	if p.store == nil || view == nil || lease == 0 {
+	if p.store == nil || view == nil || lease.ID == 0 {
 		return
 	}
 	own, stored := p.catalog.SnapshotState()
+	if lease.Registered.Epoch != own.Position.Epoch {
+		return // the store was restored; the lease may belong to another host
+	}
 	if !p.schedule.Due(p.now(), snapshot.Inputs{Rank: view.rank, Own: own, Stored: stored}) {
 		return
 	}
@@ -106,16 +110,17 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, snapshotWriteTimeout)
 	defer cancel()
-	current, err := p.store.WriteSnapshot(ctx, sealed, lease, stored.Revision)
+	current, err := p.store.WriteSnapshot(ctx, sealed, lease.ID, stored.Written)
 	switch {
 	case errors.Is(err, snapshot.ErrConflict):
-		p.logger.Info().Uint64("revision", current.Revision).Uint64("position", current.Position).Msg("snapshot_conflict")
+		p.logger.Info().Uint64("epoch", current.Written.Epoch).Uint64("revision", current.Written.Revision).
+			Uint64("position", current.Position.Revision).Msg("snapshot_conflict")
 	case err != nil:
 		p.logger.Warn().Err(err).Msg("snapshot_not_written")
 		return
 	default:
-		p.logger.Info().Uint64("revision", current.Revision).Uint64("position", current.Position).
-			Uint64("version", current.Version).Int("bytes", len(sealed)).Int("rank", view.rank).Msg("snapshot_written")
+		p.logger.Info().Uint64("epoch", current.Written.Epoch).Uint64("revision", current.Written.Revision).
+			Uint64("position", current.Position.Revision).Uint64("version", current.Version).Int("bytes", len(sealed)).Int("rank", view.rank).Msg("snapshot_written")
 	}
 	p.catalog.SetStoredSnapshot(current)
 }
--- a/internal/edge/snapshot_publisher_test.go
+++ b/internal/edge/snapshot_publisher_test.go
@@ -11,9 +11,13 @@
 	"github.com/rs/zerolog"
 
 	"github.com/oatlatch/oatlatch/internal/catalog"
+	"github.com/oatlatch/oatlatch/internal/registration"
 	"github.com/oatlatch/oatlatch/internal/snapshot"
 )
 
+// at returns the position of the revision in the first epoch.
+func at(revision uint64) catalog.Position { return catalog.Position{Revision: revision} }
+
 // fakeSnapshotStore holds a snapshot like the platform's store. It fails with err, if
 // set, after it has executed the write.
 type fakeSnapshotStore struct {
@@ -26,8 +30,8 @@
 	return snapshot.Record{}, snapshot.ErrNone
 }
 
-func (s *fakeSnapshotStore) WriteSnapshot(_ context.Context, sealed []byte, lease, previous uint64) (catalog.StoredSnapshot, error) {
-	if s.current.Revision != previous {
+func (s *fakeSnapshotStore) WriteSnapshot(_ context.Context, sealed []byte, lease uint64, previous catalog.Position) (catalog.StoredSnapshot, error) {
+	if s.current.Written != previous {
 		return s.current, snapshot.ErrConflict
 	}
 	header, err := snapshot.Header(sealed)
@@ -35,7 +39,7 @@
 		return catalog.StoredSnapshot{}, err
 	}
 	s.leases = append(s.leases, lease)
-	s.current = catalog.StoredSnapshot{Revision: header.Position + 1, Have: header}
+	s.current = catalog.StoredSnapshot{Written: at(header.Position.Revision + 1), Have: header}
 	return s.current, s.err
 }
 
@@ -56,14 +60,14 @@
 	*snapshotPublisher
 	catalog *fakeCatalog
 	clock   time.Time
-	leaseID uint64
+	lease   registration.Lease
 }
 
 func newTestPublisher(store snapshot.Store) *testPublisher {
-	p := &testPublisher{catalog: &fakeCatalog{own: catalog.Have{Position: 10, Version: 1}}, clock: time.Unix(1_000_000, 0), leaseID: 5}
+	p := &testPublisher{catalog: &fakeCatalog{own: catalog.Have{Position: at(10), Version: 1}}, clock: time.Unix(1_000_000, 0), lease: registration.Lease{ID: 5}}
 	p.snapshotPublisher = &snapshotPublisher{
 		catalog: p.catalog, store: store, schedule: snapshot.NewSchedule(5 * time.Second), wake: make(chan struct{}, 1),
-		lease: func() uint64 { return p.leaseID }, now: func() time.Time { return p.clock }, logger: zerolog.Nop(),
+		lease: func() registration.Lease { return p.lease }, now: func() time.Time { return p.clock }, logger: zerolog.Nop(),
 	}
 	p.setView(&catalog.View{PeerKey: bytes.Repeat([]byte{1}, 32)}, "quay")
 	return p
@@ -72,7 +76,7 @@
 // advance moves the clock and the catalog's position.
 func (p *testPublisher) advance(d time.Duration, position uint64) {
 	p.clock = p.clock.Add(d)
-	p.catalog.own.Position = position
+	p.catalog.own.Position.Revision = position
 	p.publishIfDue(context.Background())
 }
 
@@ -80,20 +84,20 @@
 	g := NewWithT(t)
 	store := &fakeSnapshotStore{}
 	p := newTestPublisher(store)
-	p.leaseID = 0
+	p.lease.ID = 0
 	p.advance(0, 10)
 	g.Expect(store.leases).To(BeEmpty(), "a host without a registration writes no snapshot")
-	p.leaseID = 5
+	p.lease.ID = 5
 	p.advance(time.Second, 11)
 	g.Expect(store.leases).To(Equal([]uint64{5}))
-	g.Expect(p.catalog.stored.Position).To(BeEquivalentTo(11))
+	g.Expect(p.catalog.stored.Position).To(Equal(at(11)))
 }
 
 // TestSnapshotOfAnotherHostStays covers two hosts that write at the same time: the second
 // learns what the first wrote and replaces it only when it is due again.
 func TestSnapshotOfAnotherHostStays(t *testing.T) {
 	g := NewWithT(t)
-	store := &fakeSnapshotStore{current: catalog.StoredSnapshot{Revision: 9, Have: catalog.Have{Position: 8, Version: 1}}}
+	store := &fakeSnapshotStore{current: catalog.StoredSnapshot{Written: at(9), Have: catalog.Have{Position: at(8), Version: 1}}}
 	p := newTestPublisher(store)
 	p.advance(0, 10)
 	g.Expect(store.leases).To(BeEmpty())
@@ -101,19 +105,19 @@
 	p.advance(time.Second, 12)
 	g.Expect(store.leases).To(BeEmpty())
 	p.advance(5*time.Second, 14)
-	g.Expect(store.current.Position).To(BeEquivalentTo(14))
+	g.Expect(store.current.Position).To(Equal(at(14)))
 }
 
 // TestUselessSnapshotIsReplaced covers bytes of another writer in the place of the
 // snapshot.
 func TestUselessSnapshotIsReplaced(t *testing.T) {
 	g := NewWithT(t)
-	store := &fakeSnapshotStore{current: catalog.StoredSnapshot{Revision: 9}}
+	store := &fakeSnapshotStore{current: catalog.StoredSnapshot{Written: at(9)}}
 	p := newTestPublisher(store)
 	p.advance(0, 10)
 	g.Expect(p.catalog.stored).To(Equal(store.current), "the first write tells which revision to replace")
 	p.advance(time.Second, 11)
-	g.Expect(store.current.Position).To(BeEquivalentTo(11))
+	g.Expect(store.current.Position).To(Equal(at(11)))
 }
 
 // TestLostAnswerOfSnapshotWrite covers a write that was executed although its answer was
@@ -129,3 +133,19 @@
 	g.Expect(p.catalog.stored).To(Equal(store.current))
 	g.Expect(store.leases).To(HaveLen(1))
 }
+
+// TestNoSnapshotIsWrittenAcrossARestore covers a host that holds a lease of the epoch before
+// the store was restored, and one whose store holds a snapshot from before.
+func TestNoSnapshotIsWrittenAcrossARestore(t *testing.T) {
+	g := NewWithT(t)
+	store := &fakeSnapshotStore{}
+	p := newTestPublisher(store)
+	p.catalog.own.Position.Epoch = 1
+	p.advance(0, 10)
+	g.Expect(store.leases).To(BeEmpty(), "the lease may belong to another host")
+	p.lease.Registered.Epoch = 1
+	store.current = catalog.StoredSnapshot{Written: catalog.Position{Epoch: 1, Revision: 9}, Have: catalog.Have{Position: at(8), Version: 1}}
+	p.catalog.stored = store.current
+	p.advance(time.Second, 11)
+	g.Expect(store.leases).To(Equal([]uint64{5}), "a snapshot of the earlier epoch is replaced at once")
+}
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -28,6 +28,10 @@
 	minBackoff = 50 * time.Millisecond
 	// confirmWait is how long the watch that confirms a snapshot waits for a change.
 	confirmWait = time.Millisecond
+	// restoreAttention is how long after a restore of the store its changes are read with
+	// restorePause between them: operators and upstreams write again what was lost.
+	restoreAttention = 3 * time.Second
+	restorePause     = 400 * time.Millisecond
 	// lostThreshold is the number of consecutive failed calls after which the source
 	// is logged as lost.
 	lostThreshold = 3
@@ -39,6 +43,10 @@
 // ErrLoop means that the entry host that was read itself reads this host.
 var ErrLoop = errors.New("entry host reads this host: read another source")
 
+// ErrBehind means that the entry host that was read has not learned yet that the store was
+// restored from a copy.
+var ErrBehind = errors.New("entry host has not seen the last restore of the store: read another source")
+
 // Options configures a Feed.
 type Options struct {
 	// Self is the name of this host, DataCentre that of its data centre.
@@ -87,6 +95,15 @@
 	// confirming is set while a snapshot awaits the changes since its position. They are
 	// read from the store at once, without waiting for a change.
 	confirming bool
+	// compactions is the number of watches that had to be replaced by a listing since the
+	// last one that was answered.
+	compactions int
+	// lastChanges is the number of changes in the last answer.
+	lastChanges int
+	// unpublished is the last view that could not be served yet; nil if there is none.
+	unpublished *catalog.View
+	// consultedAt is when a follower was last consulted.
+	consultedAt time.Time
 
 	// mu guards the fields below.
 	mu      sync.Mutex
@@ -96,6 +113,9 @@
 	changed chan struct{}
 	// via is the name of the host that is read; empty if the store is read.
 	via string
+	// follower is the name of a host that reads this one and knows more; empty if there
+	// is none.
+	follower string
 }
 
 // New returns a feed with an empty catalog.
@@ -136,6 +156,7 @@
 
 // poll makes one call to a source and returns the delay before the next one.
 func (f *Feed) poll(ctx context.Context) time.Duration {
+	f.consultFollower(ctx)
 	target := f.selector.next(f.options.Now())
 	if f.confirming {
 		target = nil
@@ -170,9 +191,11 @@
 	}
 	switch {
 	case err != nil:
-		f.options.Logger.Info().Str("source", name).Uint64("position", f.have().Position).Msg("history_dropped")
+		delay := f.relistDelay()
+		f.options.Logger.Info().Str("source", name).Uint64("epoch", f.have().Position.Epoch).
+			Uint64("position", f.have().Position.Revision).Dur("delay_ms", delay).Msg("history_dropped")
 		f.restartListing()
-		return 0
+		return delay
 	case listing, confirmed:
 		// Read the next page, or the changes since the listing, which may be stale,
 		// without delay.
@@ -180,7 +203,33 @@
 	case target != nil:
 		return peerInterval
 	default:
-		return f.currentTiming().Pause
+		return f.storePause()
+	}
+}
+
+// relistDelay returns the delay before a listing that replaces a watch. It grows while no
+// watch is answered, so that a store which refuses each position is not called in a loop.
+func (f *Feed) relistDelay() time.Duration {
+	f.compactions++
+	if f.compactions == 1 {
+		return 0
+	}
+	return min(f.currentTiming().Pause, minBackoff<<min(f.compactions+1, 8))
+}
+
+// storePause returns the pause before the next watch of the store.
+func (f *Feed) storePause() time.Duration {
+	f.mu.Lock()
+	restoredAt := f.catalog.RestoredAt()
+	f.mu.Unlock()
+	pause := f.currentTiming().Pause
+	switch {
+	case restoredAt.IsZero() || f.options.Now().Sub(restoredAt) >= restoreAttention:
+		return pause
+	case f.lastChanges == 0:
+		return 0 // the watch itself has waited
+	default:
+		return min(pause, restorePause)
 	}
 }
 
@@ -244,10 +293,13 @@
 	if after == "" {
 		f.catalog.BeginListing()
 	}
-	f.catalog.AddPage(f.options.Now(), page)
+	if err := f.catalog.AddPage(f.options.Now(), page); err != nil {
+		f.restartListing()
+		return 0, "", err
+	}
 	f.nextPage, f.listed = page.Next, page.Next == ""
 	f.options.Logger.Info().Int("records", len(page.Changes)).Bool("last", f.listed).Bool("may_be_stale", f.allowStale).
-		Uint64("position", page.Position).Uint64("version", f.catalog.Version()).Msg("page_listed")
+		Uint64("epoch", page.Position.Epoch).Uint64("position", page.Position.Revision).Uint64("version", f.catalog.Version()).Msg("page_listed")
 	return page.Age, page.Via, nil
 }
 
@@ -268,6 +320,7 @@
 	if !f.catalog.Apply(f.options.Now(), update) {
 		return 0, "", ErrCompacted
 	}
+	f.compactions, f.lastChanges = 0, len(update.Changes)
 	return update.Age, update.Via, nil
 }
 
@@ -289,20 +342,25 @@
 	}
 	f.mu.Unlock()
 	f.logEvents(events)
-	if !ok {
-		return
+	if ok {
+		f.selector.setHosts(view.Hosts)
+		f.unpublished = &view
 	}
-	f.selector.setHosts(view.Hosts)
-	if view.Configuration != nil && (f.listed || len(view.Upstreams) > 0) {
-		f.options.OnView(view)
+	if v := f.unpublished; v != nil && v.Configuration != nil && (f.listed || len(v.Upstreams) > 0) {
+		f.unpublished = nil
+		f.options.OnView(*v)
 	}
 }
 
 // logEvents logs changes of the catalog together with the source that was read last.
 func (f *Feed) logEvents(events []catalog.Event) {
 	for _, e := range events {
-		line := f.options.Logger.Info().Str("source", f.currentSource).Uint64("revision", e.Revision)
+		line := f.options.Logger.Info().Str("source", f.currentSource).Uint64("epoch", e.Position.Epoch).Uint64("revision", e.Position.Revision)
 		switch e.Kind {
+		case catalog.StoreRestored:
+			f.options.Metrics.restores.Inc()
+			line = line.Uint64("epoch_before", e.PreviousPosition.Epoch).Uint64("revision_before", e.PreviousPosition.Revision)
+		case catalog.PeerKeyLost:
 		case catalog.ConfigurationAdopted, catalog.ConfigurationRefused:
 			line = line.Uint64("version", e.Version).Uint64("before", e.PreviousVersion)
 		case catalog.HostJoined, catalog.HostLeft:
--- a/internal/feed/feed_test.go
+++ b/internal/feed/feed_test.go
@@ -12,6 +12,9 @@
 	"github.com/oatlatch/oatlatch/internal/catalog"
 )
 
+// at returns the position of the revision in the first epoch.
+func at(revision uint64) catalog.Position { return catalog.Position{Revision: revision} }
+
 // fakeSource returns the configured answers and records the calls.
 type fakeSource struct {
 	pages   map[string]catalog.Page
@@ -27,7 +30,7 @@
 }
 
 func (s *fakeSource) Watch(_ context.Context, have catalog.Have, _ time.Duration) (catalog.Update, error) {
-	s.watches = append(s.watches, have.Position)
+	s.watches = append(s.watches, have.Position.Revision)
 	return s.update, s.err
 }
 
@@ -45,11 +48,11 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	f := &testFeed{now: start, peer: &fakeSource{}, store: &fakeSource{pages: map[string]catalog.Page{"": {Position: 7, Changes: []catalog.Change{
-		{Revision: 3, Configuration: &catalog.Configuration{Version: 1}},
-		{Revision: 4, Upstream: &catalog.Upstream{ID: 1, Name: "u", Service: "desk", Slots: 1}},
-		{Revision: 5, Host: &catalog.Host{Name: "a-0", DataCentre: "a", Joined: 5}},
-		{Revision: 6, Host: &catalog.Host{Name: "a-1", DataCentre: "a", Joined: 6}},
+	f := &testFeed{now: start, peer: &fakeSource{}, store: &fakeSource{pages: map[string]catalog.Page{"": {Position: at(7), Changes: []catalog.Change{
+		{Position: at(3), Configuration: &catalog.Configuration{Version: 1}},
+		{Position: at(4), Upstream: &catalog.Upstream{ID: 1, Name: "u", Service: "desk", Slots: 1}},
+		{Position: at(5), Host: &catalog.Host{Name: "a-0", DataCentre: "a", Joined: 5}},
+		{Position: at(6), Host: &catalog.Host{Name: "a-1", DataCentre: "a", Joined: 6}},
 	}}}}}
 	f.feed = New(Options{
 		Self: "a-0", DataCentre: "a", Store: f.store, Peer: func(catalog.Host) Source { return f.peer },
@@ -66,7 +69,7 @@
 	f := newTestFeed(t)
 	g.Expect(f.poll()).To(BeZero())
 	g.Expect(f.views).To(HaveLen(1))
-	f.store.update = catalog.Update{Position: 9, Changes: []catalog.Change{{Revision: 9, Configuration: &catalog.Configuration{Version: 2}}}}
+	f.store.update = catalog.Update{Position: at(9), Changes: []catalog.Change{{Position: at(9), Configuration: &catalog.Configuration{Version: 2}}}}
 	g.Expect(f.poll()).To(Equal(f.feed.options.Timing.Pause))
 	g.Expect(f.store.watches).To(Equal([]uint64{7}))
 	g.Expect(f.views[1].Configuration.Version).To(BeEquivalentTo(2))
@@ -78,7 +81,7 @@
 	first := f.store.pages[""]
 	first.Next = "page-2"
 	f.store.pages[""] = first
-	f.store.pages["page-2"] = catalog.Page{Position: 8, Changes: []catalog.Change{{Revision: 8, Upstream: &catalog.Upstream{ID: 2, Name: "v", Service: "desk", Slots: 1}}}}
+	f.store.pages["page-2"] = catalog.Page{Position: at(8), Changes: []catalog.Change{{Position: at(8), Upstream: &catalog.Upstream{ID: 2, Name: "v", Service: "desk", Slots: 1}}}}
 	f.poll()
 	g.Expect(f.views).To(HaveLen(1))
 	f.poll()
@@ -118,7 +121,7 @@
 	f := newTestFeed(t)
 	f.feed.selector.self = "a-1"
 	f.poll()
-	f.peer.update = catalog.Update{Position: 8, Age: time.Minute, Changes: []catalog.Change{{Revision: 8, Configuration: &catalog.Configuration{Version: 5}}}}
+	f.peer.update = catalog.Update{Position: at(8), Age: time.Minute, Changes: []catalog.Change{{Position: at(8), Configuration: &catalog.Configuration{Version: 5}}}}
 	f.poll()
 	g.Expect(f.peer.watches).To(HaveLen(1))
 	g.Expect(f.views[1].Configuration.Version).To(BeEquivalentTo(5), "the answer of a stale peer must still be merged")
@@ -135,7 +138,7 @@
 	for range peerFallbackThreshold {
 		f.poll()
 	}
-	f.peer.update = catalog.Update{Position: 7, Via: "a-0"}
+	f.peer.update = catalog.Update{Position: at(7), Via: "a-0"}
 	f.poll()
 	g.Expect(f.peer.watches).To(HaveLen(1))
 	g.Expect(sourceName(f.feed.selector.next(f.now))).To(Equal(storeName), "the only other host reads this one")
@@ -156,11 +159,28 @@
 func TestViewWithoutUpstreamsIsServedOnceListed(t *testing.T) {
 	g := NewWithT(t)
 	f := newTestFeed(t)
-	f.store.pages[""] = catalog.Page{Position: 7, Next: "page-2", Changes: []catalog.Change{{Revision: 3, Configuration: &catalog.Configuration{Version: 1}}}}
-	f.store.pages["page-2"] = catalog.Page{Position: 8}
+	f.store.pages[""] = catalog.Page{Position: at(7), Next: "page-2", Changes: []catalog.Change{{Position: at(3), Configuration: &catalog.Configuration{Version: 1}}}}
+	f.store.pages["page-2"] = catalog.Page{Position: at(8)}
 	f.poll()
 	g.Expect(f.views).To(BeEmpty(), "an incomplete listing without upstreams would refuse all flows")
 	f.poll()
 	g.Expect(f.views).To(HaveLen(1))
 	g.Expect(f.views[0].Configuration.Version).To(BeEquivalentTo(1))
 }
+
+// TestUnpublishedViewIsServedOnceListed covers a change on the first page of a listing that
+// cannot be served yet, when the rest of the listing changes nothing.
+func TestUnpublishedViewIsServedOnceListed(t *testing.T) {
+	g := NewWithT(t)
+	f := newTestFeed(t)
+	f.store.pages[""] = catalog.Page{Position: at(7), Changes: []catalog.Change{{Position: at(3), Configuration: &catalog.Configuration{Version: 1}}}}
+	f.poll()
+	f.store.err = ErrCompacted
+	f.poll()
+	f.store.err = nil
+	f.store.pages[""] = catalog.Page{Position: at(9), Next: "page-2", Changes: []catalog.Change{{Position: at(8), Configuration: &catalog.Configuration{Version: 2}}}}
+	f.store.pages["page-2"] = catalog.Page{Position: at(9)}
+	f.poll()
+	f.poll()
+	g.Expect(f.views[len(f.views)-1].Configuration.Version).To(BeEquivalentTo(2))
+}
--- a/internal/feed/metrics.go
+++ b/internal/feed/metrics.go
@@ -5,23 +5,34 @@
 	"fmt"
 
 	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/oatlatch/oatlatch/internal/catalog"
 )
 
-// Metrics counts a feed's calls to its sources.
+// Metrics counts a feed's calls to its sources, and the restores of the store that it has
+// seen.
 type Metrics struct {
-	calls *prometheus.CounterVec
+	calls    *prometheus.CounterVec
+	restores prometheus.Counter
 }
 
 // NewMetrics creates the counters and registers them unless registerer is nil.
 func NewMetrics(registerer prometheus.Registerer) (*Metrics, error) {
-	m := &Metrics{calls: prometheus.NewCounterVec(prometheus.CounterOpts{
-		Name: "oatlatch_feed_calls_total", Help: "Calls for configuration and upstreams, by source and outcome.",
-	}, []string{"source", "outcome"})}
+	m := &Metrics{
+		calls: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "oatlatch_feed_calls_total", Help: "Calls for configuration and upstreams, by source and outcome.",
+		}, []string{"source", "outcome"}),
+		restores: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "oatlatch_store_restores_total", Help: "Times that the store came back from an older copy while this host ran.",
+		}),
+	}
 	if registerer == nil {
 		return m, nil
 	}
-	if err := registerer.Register(m.calls); err != nil {
-		return nil, fmt.Errorf("register feed metrics (possible only once per registry): %w", err)
+	for _, c := range []prometheus.Collector{m.calls, m.restores} {
+		if err := registerer.Register(c); err != nil {
+			return nil, fmt.Errorf("register feed metrics (possible only once per registry): %w", err)
+		}
 	}
 	return m, nil
 }
@@ -43,6 +54,8 @@
 		return "answered"
 	case errors.Is(err, ErrCompacted):
 		return "compacted"
+	case errors.Is(err, ErrBehind), errors.Is(err, catalog.ErrOutdated):
+		return "outdated"
 	case errors.Is(err, ErrStale):
 		return "stale"
 	case errors.Is(err, ErrLoop):
--- a/internal/feed/restore.go
+++ b/internal/feed/restore.go
@@ -37,17 +37,19 @@
 	if err != nil {
 		return err
 	}
-	page, err := snapshot.Open(record.PeerKey, record.Sealed, record.Revision)
+	page, err := snapshot.Open(record.PeerKey, record.Sealed, record.Written)
 	if err != nil {
 		return err
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.catalog.BeginListing()
-	f.catalog.AddPage(f.options.Now(), page)
-	f.catalog.SetStoredSnapshot(catalog.StoredSnapshot{Revision: record.Revision, Have: f.catalog.Have()})
+	if err := f.catalog.AddPage(f.options.Now(), page); err != nil {
+		return err
+	}
+	f.catalog.SetStoredSnapshot(catalog.StoredSnapshot{Written: record.Written, Have: f.catalog.Have()})
 	f.listed, f.confirming = true, true
-	f.options.Logger.Info().Int("records", len(page.Changes)).Int("bytes", len(record.Sealed)).Uint64("revision", record.Revision).
-		Uint64("position", page.Position).Uint64("version", f.catalog.Version()).Msg("snapshot_read")
+	f.options.Logger.Info().Int("records", len(page.Changes)).Int("bytes", len(record.Sealed)).Uint64("epoch", record.Written.Epoch).
+		Uint64("revision", record.Written.Revision).Uint64("position", page.Position.Revision).Uint64("version", f.catalog.Version()).Msg("snapshot_read")
 	return nil
 }
--- a/internal/feed/restore_test.go
+++ b/internal/feed/restore_test.go
@@ -24,7 +24,7 @@
 	return s.record, s.err
 }
 
-func (s *fakeSnapshots) WriteSnapshot(context.Context, []byte, uint64, uint64) (catalog.StoredSnapshot, error) {
+func (s *fakeSnapshots) WriteSnapshot(context.Context, []byte, uint64, catalog.Position) (catalog.StoredSnapshot, error) {
 	return catalog.StoredSnapshot{}, errors.New("not used")
 }
 
@@ -36,7 +36,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	snapshots := &fakeSnapshots{record: snapshot.Record{Sealed: sealed, PeerKey: testPeerKey, Revision: 8}}
+	snapshots := &fakeSnapshots{record: snapshot.Record{Sealed: sealed, PeerKey: testPeerKey, Written: at(8)}}
 	f.feed.options.Snapshots = snapshots
 	return f, snapshots
 }
@@ -53,7 +53,7 @@
 	g.Expect(f.views).To(HaveLen(1))
 	g.Expect(f.views[0].Partial).To(BeTrue())
 	g.Expect(f.views[0].Upstreams).To(HaveLen(1))
-	f.store.update = catalog.Update{Position: 12, Changes: []catalog.Change{{Revision: 12, Configuration: &catalog.Configuration{Version: 2}}}}
+	f.store.update = catalog.Update{Position: at(12), Changes: []catalog.Change{{Position: at(12), Configuration: &catalog.Configuration{Version: 2}}}}
 	g.Expect(f.poll()).To(BeZero())
 	g.Expect(f.store.watches).To(Equal([]uint64{7}))
 	g.Expect(f.peer.watches).To(BeEmpty())
@@ -73,9 +73,9 @@
 	f.store.err = ErrCompacted
 	g.Expect(f.poll()).To(BeZero())
 	f.store.err = nil
-	f.store.pages[""] = catalog.Page{Position: 30, Changes: []catalog.Change{
-		{Revision: 20, Configuration: &catalog.Configuration{Version: 6}},
-		{Revision: 21, Upstream: &catalog.Upstream{ID: 2, Name: "v", Service: "desk", Slots: 1}},
+	f.store.pages[""] = catalog.Page{Position: at(30), Changes: []catalog.Change{
+		{Position: at(20), Configuration: &catalog.Configuration{Version: 6}},
+		{Position: at(21), Upstream: &catalog.Upstream{ID: 2, Name: "v", Service: "desk", Slots: 1}},
 	}}
 	f.poll()
 	g.Expect(f.store.lists).To(Equal([]bool{false}), "the listing must not be as old as the snapshot")
@@ -108,7 +108,7 @@
 		{"refused", func(s *fakeSnapshots) { s.err = &StatusError{Status: 429} }},
 		{"torn", func(s *fakeSnapshots) { s.record.Sealed = s.record.Sealed[:20] }},
 		{"of another deployment", func(s *fakeSnapshots) { s.record.PeerKey = bytes.Repeat([]byte{2}, 32) }},
-		{"of a later position than the store's", func(s *fakeSnapshots) { s.record.Revision = 7 }},
+		{"of a later position than the store's", func(s *fakeSnapshots) { s.record.Written = at(7) }},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
--- a/internal/feed/selector.go
+++ b/internal/feed/selector.go
@@ -97,6 +97,16 @@
 	return nil
 }
 
+// peer returns the peer with the name, or nil if there is none.
+func (s *sourceSelector) peer(name string) *catalog.Host {
+	for i := range s.peers {
+		if s.peers[i].Name == name {
+			return &s.peers[i]
+		}
+	}
+	return nil
+}
+
 // randomPeer returns a random usable peer, from this data centre if possible. It
 // returns nil if no peer is usable.
 func (s *sourceSelector) randomPeer(now time.Time) *catalog.Host {
--- a/internal/feed/snapshot.go
+++ b/internal/feed/snapshot.go
@@ -7,7 +7,7 @@
 func (f *Feed) Snapshot() (catalog.Page, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.catalog.Position() == 0 {
+	if !f.catalog.Complete() {
 		return catalog.Page{}, false
 	}
 	page := f.catalog.Snapshot(f.options.Now())
@@ -17,15 +17,16 @@
 
 // ChangesSince returns the changes that another host with the given state lacks, and a
 // channel that is closed at the next change of the view. It returns false if the host
-// needs a listing, or while the catalog is incomplete.
+// needs a listing, or while the catalog is incomplete. The update then holds no more than
+// the catalog's position.
 func (f *Feed) ChangesSince(have catalog.Have) (catalog.Update, <-chan struct{}, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.catalog.Position() == 0 {
+	if !f.catalog.Complete() {
 		return catalog.Update{}, f.changed, false
 	}
 	update, ok := f.catalog.ChangesSince(f.options.Now(), have)
-	update.Via = f.via
+	update.Position, update.Via = f.catalog.Position(), f.via
 	return update, f.changed, ok
 }
 
--- a/internal/logquery/logquery.go
+++ b/internal/logquery/logquery.go
@@ -125,7 +125,7 @@
 
 // hostEvents are the events about a host itself.
 var hostEvents = map[string]bool{
-	"started": true, "ready": true, "stopping": true, "stopped": true, "source_lost": true, "source_changed": true,
+	"started": true, "ready": true, "stopping": true, "stopped": true, "source_lost": true, "store_restored": true, "source_changed": true,
 	"configuration_adopted": true, "configuration_refused": true, "settings_reloaded": true, "settings_refused": true,
 }
 
--- a/internal/peer/tls.go
+++ b/internal/peer/tls.go
@@ -68,6 +68,19 @@
 	return nil
 }
 
+// Replace makes the host use the keys of the sources from now on. If they are invalid or
+// for another identity, it returns an error and the previous keys stay in use. It must not
+// be called concurrently with Reload.
+func (t *TLS) Replace(sources KeySources) error {
+	previous := t.sources
+	t.sources = sources
+	if err := t.Reload(); err != nil {
+		t.sources = previous
+		return err
+	}
+	return nil
+}
+
 // Identity returns the identity in the host's certificate.
 func (t *TLS) Identity() Identity {
 	return t.current.Load().identity
--- a/internal/registration/keys.go
+++ b/internal/registration/keys.go
@@ -42,31 +42,50 @@
 	return key
 }
 
-// IssueTLS returns a TLS key and certificate for the identity. The certificate is
+// IssueKeys returns a TLS key and certificate for the identity. The certificate is
 // signed by an authority whose key is derived from the peer key, so hosts with the
-// same peer key trust each other.
-func IssueTLS(peerKey []byte, identity peer.Identity) (*peer.TLS, error) {
+// same peer key trust each other. Hosts with the former key, if there is one, are trusted
+// as well.
+func IssueKeys(peerKey, formerKey []byte, identity peer.Identity) (peer.KeySources, error) {
+	authority, authorityKey, authorityDER, err := newAuthority(peerKey)
+	if err != nil {
+		return peer.KeySources{}, err
+	}
+	trusted := encodePEM("CERTIFICATE", authorityDER)
+	if formerKey != nil {
+		_, _, formerDER, err := newAuthority(formerKey)
+		if err != nil {
+			return peer.KeySources{}, err
+		}
+		trusted += encodePEM("CERTIFICATE", formerDER)
+	}
+	certificate, key, err := issueCertificate(authority, authorityKey, identity)
+	if err != nil {
+		return peer.KeySources{}, err
+	}
+	return peer.KeySources{CA: trusted, Certificate: certificate, Key: key}, nil
+}
+
+// newAuthority returns the certificate authority of the peer key, with its private key and
+// its certificate in DER format.
+func newAuthority(peerKey []byte) (*x509.Certificate, ed25519.PrivateKey, []byte, error) {
 	if len(peerKey) < PeerKeySize {
-		return nil, fmt.Errorf("the peer key has %d bytes, but must have at least %d: remove it from the store and restart the hosts", len(peerKey), PeerKeySize)
+		return nil, nil, nil, fmt.Errorf("the peer key has %d bytes, but must have at least %d: remove it from the store and restart the hosts", len(peerKey), PeerKeySize)
 	}
 	seed, err := hkdf.Key(sha256.New, peerKey, nil, peerAuthorityName, ed25519.SeedSize)
 	if err != nil {
-		return nil, fmt.Errorf("derive the key of the peer authority: %w", err)
+		return nil, nil, nil, fmt.Errorf("derive the key of the peer authority: %w", err)
 	}
-	authorityKey := ed25519.NewKeyFromSeed(seed)
+	key := ed25519.NewKeyFromSeed(seed)
 	authority := &x509.Certificate{
 		SerialNumber: big.NewInt(1), Subject: pkix.Name{CommonName: peerAuthorityName}, NotBefore: certificateNotBefore, NotAfter: certificateNotAfter,
 		IsCA: true, BasicConstraintsValid: true, KeyUsage: x509.KeyUsageCertSign,
 	}
-	authorityDER, err := x509.CreateCertificate(rand.Reader, authority, authority, authorityKey.Public(), authorityKey)
-	if err != nil {
-		return nil, fmt.Errorf("create the certificate of the peer authority: %w", err)
-	}
-	certificate, key, err := issueCertificate(authority, authorityKey, identity)
+	der, err := x509.CreateCertificate(rand.Reader, authority, authority, key.Public(), key)
 	if err != nil {
-		return nil, err
+		return nil, nil, nil, fmt.Errorf("create the certificate of the peer authority: %w", err)
 	}
-	return peer.LoadTLS(peer.KeySources{CA: encodePEM("CERTIFICATE", authorityDER), Certificate: certificate, Key: key})
+	return authority, key, der, nil
 }
 
 // issueCertificate returns a new certificate for the identity, signed by the authority,
--- a/internal/registration/registrar.go
+++ b/internal/registration/registrar.go
@@ -10,7 +10,6 @@
 	"github.com/rs/zerolog"
 
 	"github.com/oatlatch/oatlatch/internal/catalog"
-	"github.com/oatlatch/oatlatch/internal/wait"
 )
 
 const (
@@ -45,41 +44,90 @@
 type Registrar struct {
 	options Options
 	random  *rand.Rand
-	// lease is the lease of the registration; 0 while the host is not registered.
+	// lease is the lease of the registration; its ID is 0 while the host is not registered.
 	lease Lease
 	// published is the value of lease for other goroutines.
-	published atomic.Uint64
+	published atomic.Pointer[Lease]
+	// restored receives what the store has after a restore.
+	restored chan Restored
 }
 
-// Lease returns the lease of the registration, or 0 while the host is not registered.
-func (r *Registrar) Lease() Lease { return Lease(r.published.Load()) }
+// Restored describes a store that came back from an older copy.
+type Restored struct {
+	// Epoch is the epoch that began.
+	Epoch uint64
+	// Registered is the position of this host's registration in the store; its revision is
+	// zero if there is none.
+	Registered catalog.Position
+}
+
+// Lease returns the lease of the registration; its ID is 0 while the host is not
+// registered.
+func (r *Registrar) Lease() Lease { return *r.published.Load() }
 
 func (r *Registrar) setLease(lease Lease) {
 	r.lease = lease
-	r.published.Store(uint64(lease))
+	r.published.Store(&lease)
 }
 
 // NewRegistrar returns a registrar. Run registers the host.
 func NewRegistrar(options Options) *Registrar {
-	return &Registrar{options: options, random: rand.New(rand.NewPCG(options.Seed, options.Seed))}
+	r := &Registrar{options: options, random: rand.New(rand.NewPCG(options.Seed, options.Seed)), restored: make(chan Restored, 1)}
+	r.setLease(Lease{})
+	return r
+}
+
+// StoreRestored tells the registrar that the store was restored. It never blocks. Only
+// one goroutine may call it.
+func (r *Registrar) StoreRestored(restored Restored) {
+	select {
+	case <-r.restored: // replaced by the newer one
+	default:
+	}
+	r.restored <- restored
 }
 
 // Run registers the host, renews the registration until ctx ends, and then removes the
 // registration.
 func (r *Registrar) Run(ctx context.Context) error {
-	delay := time.Duration(r.random.Int64N(int64(startupSpread)))
-	for wait.Sleep(ctx, delay) == nil {
-		delay = r.step(ctx)
+	timer := time.NewTimer(time.Duration(r.random.Int64N(int64(startupSpread))))
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			r.unregister()
+			return nil
+		case restored := <-r.restored:
+			if delay, changed := r.handleRestored(restored); changed {
+				timer.Reset(delay)
+			}
+		case <-timer.C:
+			timer.Reset(r.step(ctx))
+		}
+	}
+}
+
+// handleRestored keeps the lease if the copy of the store contains it, and otherwise
+// forgets it. In that case it returns the delay before the host registers again, and true.
+func (r *Registrar) handleRestored(restored Restored) (time.Duration, bool) {
+	if r.lease.ID == 0 || r.lease.Registered.Epoch >= restored.Epoch {
+		return 0, false
+	}
+	kept := r.lease.Registered.Revision == restored.Registered.Revision
+	r.options.Logger.Info().Uint64("lease", r.lease.ID).Uint64("epoch", restored.Epoch).Bool("kept", kept).Msg("registration_restored")
+	if kept {
+		r.setLease(Lease{ID: r.lease.ID, Registered: restored.Registered})
+		return 0, false
 	}
-	r.unregister()
-	return nil
+	r.setLease(Lease{})
+	return time.Duration(r.random.Int64N(int64(startupSpread))), true
 }
 
 // step makes one call to the store and returns the delay before the next.
 func (r *Registrar) step(ctx context.Context) time.Duration {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	if r.lease == 0 {
+	if r.lease.ID == 0 {
 		return r.register(ctx)
 	}
 	err := r.options.Store.Renew(ctx, r.lease)
@@ -87,8 +135,8 @@
 	case err == nil:
 		return renewInterval
 	case errors.Is(err, ErrLeaseEnded):
-		r.options.Logger.Warn().Uint64("lease", uint64(r.lease)).Msg("registration_lapsed")
-		r.setLease(0)
+		r.options.Logger.Warn().Uint64("lease", r.lease.ID).Msg("registration_lapsed")
+		r.setLease(Lease{})
 		return 0
 	default:
 		return r.logFailure("renew", err)
@@ -102,7 +150,7 @@
 		return r.logFailure("register", err)
 	}
 	r.setLease(lease)
-	r.options.Logger.Info().Uint64("lease", uint64(lease)).Msg("registered")
+	r.options.Logger.Info().Uint64("lease", lease.ID).Msg("registered")
 	return renewInterval
 }
 
@@ -116,15 +164,15 @@
 // unregister removes the registration. If the call fails, the registration expires
 // within TTL.
 func (r *Registrar) unregister() {
-	if r.lease == 0 {
+	if r.lease.ID == 0 {
 		return
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
 	defer cancel()
-	r.published.Store(0)
-	if err := r.options.Store.Unregister(ctx, r.lease); err != nil {
+	r.published.Store(&Lease{})
+	if err := r.options.Store.Unregister(ctx, r.options.Host.Name, r.lease); err != nil {
 		r.logFailure("leave", err)
 		return
 	}
-	r.options.Logger.Info().Uint64("lease", uint64(r.lease)).Msg("unregistered")
+	r.options.Logger.Info().Uint64("lease", r.lease.ID).Msg("unregistered")
 }
--- a/internal/snapshot/schedule.go
+++ b/internal/snapshot/schedule.go
@@ -25,16 +25,16 @@
 }
 
 // Schedule decides when a host writes a snapshot. The host of rank 0 writes one when the
-// configuration has changed, and otherwise at the refresh interval. The other hosts do
-// so only if the stored one remains out of date. It is not safe for concurrent use.
+// configuration has changed or the store was restored from a copy, and otherwise at the
+// refresh interval. The other hosts do so only if the stored one remains out of date. It is not safe for concurrent use.
 type Schedule struct {
 	refreshInterval time.Duration
-	// storedRevision is the revision of the stored snapshot at the last call of Due, and
+	// stored is the position of the stored snapshot at the last call of Due, and
 	// storedSince is when it was first seen.
-	storedRevision uint64
-	storedSince    time.Time
-	// outdatedSince is when the stored snapshot was first seen to be missing or to hold
-	// an older configuration than this host; zero if it does not.
+	stored      catalog.Position
+	storedSince time.Time
+	// outdatedSince is when the stored snapshot was first seen to be missing, to be of an
+	// earlier epoch or to hold an older configuration than this host; zero if it is not.
 	outdatedSince time.Time
 	// lastWrite is the time of the last call of Due that returned true.
 	lastWrite time.Time
@@ -47,17 +47,17 @@
 
 // Due reports whether the host must write a snapshot now.
 func (s *Schedule) Due(now time.Time, in Inputs) bool {
-	if s.storedSince.IsZero() || in.Stored.Revision != s.storedRevision {
-		s.storedRevision, s.storedSince = in.Stored.Revision, now
+	if s.storedSince.IsZero() || in.Stored.Written != s.stored {
+		s.stored, s.storedSince = in.Stored.Written, now
 	}
-	outdated := in.Stored.Revision == 0 || in.Stored.Version < in.Own.Version
+	outdated := in.Stored.Written.Revision == 0 || in.Stored.Version < in.Own.Version || in.Stored.Position.Epoch < in.Own.Position.Epoch
 	switch {
 	case !outdated:
 		s.outdatedSince = time.Time{}
 	case s.outdatedSince.IsZero():
 		s.outdatedSince = now
 	}
-	if in.Own.Position <= in.Stored.Position {
+	if !in.Own.Position.After(in.Stored.Position) {
 		return false
 	}
 	if !s.lastWrite.IsZero() && now.Sub(s.lastWrite) < minWriteInterval {
--- a/internal/snapshot/schedule_test.go
+++ b/internal/snapshot/schedule_test.go
@@ -9,6 +9,9 @@
 	"github.com/oatlatch/oatlatch/internal/catalog"
 )
 
+// at returns the position of the revision in the first epoch.
+func at(revision uint64) catalog.Position { return catalog.Position{Revision: revision} }
+
 const testRefreshInterval = 5 * time.Second
 
 // simulatedStore holds a snapshot as the platform's store does: a write replaces the one
@@ -40,34 +43,34 @@
 	if h.down {
 		return
 	}
-	h.own = catalog.Have{Position: s.revision, Version: version}
+	h.own = catalog.Have{Position: at(s.revision), Version: version}
 	h.known = s.stored
 	h.write(s)
 }
 
 // write writes a snapshot if one is due by what the host knows.
 func (h *simulatedHost) write(s *simulatedStore) {
-	if !h.schedule.Due(s.now, Inputs{Rank: h.rank, Own: h.own, Stored: h.known}) || h.known.Revision != s.stored.Revision {
+	if !h.schedule.Due(s.now, Inputs{Rank: h.rank, Own: h.own, Stored: h.known}) || h.known.Written != s.stored.Written {
 		return
 	}
 	s.revision++
 	s.writes++
-	s.stored = catalog.StoredSnapshot{Revision: s.revision, Have: h.own}
+	s.stored = catalog.StoredSnapshot{Written: at(s.revision), Have: h.own}
 }
 
 // run advances the time by seconds. Each second the store changes and all hosts read it.
 // It returns the longest time for which the stored snapshot was not replaced.
 func (s *simulatedStore) run(seconds int, version uint64, hosts ...*simulatedHost) time.Duration {
 	var oldest time.Duration
-	since, revision := s.now, s.stored.Revision
+	since, written := s.now, s.stored.Written
 	for range seconds {
 		s.now = s.now.Add(time.Second)
 		s.revision++
 		for _, h := range hosts {
 			h.poll(s, version)
 		}
-		if s.stored.Revision != revision {
-			since, revision = s.now, s.stored.Revision
+		if s.stored.Written != written {
+			since, written = s.now, s.stored.Written
 		}
 		oldest = max(oldest, s.now.Sub(since))
 	}
@@ -149,7 +152,7 @@
 func TestFalseVersionIsReplaced(t *testing.T) {
 	g := NewWithT(t)
 	s, first := newSimulatedStore(), newSimulatedHost(0)
-	s.stored = catalog.StoredSnapshot{Revision: 9, Have: catalog.Have{Position: 8, Version: 1 << 60}}
+	s.stored = catalog.StoredSnapshot{Written: at(9), Have: catalog.Have{Position: at(8), Version: 1 << 60}}
 	s.run(6, 3, first)
 	g.Expect(s.stored.Version).To(BeEquivalentTo(3))
 }
--- a/internal/snapshot/snapshot.go
+++ b/internal/snapshot/snapshot.go
@@ -16,13 +16,15 @@
 	"github.com/oatlatch/oatlatch/internal/gobpack"
 )
 
-// A sealed snapshot consists of a format byte, the position, the configuration version,
-// an HMAC of all other bytes, and a catalog.Page encoded by gobpack.Pack.
+// A sealed snapshot consists of a format byte, the epoch and the revision of the position,
+// the configuration version, an HMAC of all other bytes, and a catalog.Page encoded by
+// gobpack.Pack.
 const (
-	format         = 1
-	positionOffset = 1
-	versionOffset  = 9
-	macOffset      = 17
+	format         = 2
+	epochOffset    = 1
+	revisionOffset = 9
+	versionOffset  = 17
+	macOffset      = 25
 	pageOffset     = macOffset + sha256.Size
 	// macInfo is the HKDF info of the HMAC's key. It makes the key differ from any other
 	// key derived from the peer key.
@@ -52,7 +54,8 @@
 	}
 	sealed := make([]byte, pageOffset, pageOffset+len(packed))
 	sealed[0] = format
-	binary.BigEndian.PutUint64(sealed[positionOffset:], page.Position)
+	binary.BigEndian.PutUint64(sealed[epochOffset:], page.Position.Epoch)
+	binary.BigEndian.PutUint64(sealed[revisionOffset:], page.Position.Revision)
 	binary.BigEndian.PutUint64(sealed[versionOffset:], version)
 	sealed = append(sealed, packed...)
 	mac, err := macOf(peerKey, sealed)
@@ -70,13 +73,21 @@
 		return catalog.Have{}, fmt.Errorf("%w: %d bytes", ErrInvalid, len(sealed))
 	}
 	return catalog.Have{
-		Position: binary.BigEndian.Uint64(sealed[positionOffset:]), Version: binary.BigEndian.Uint64(sealed[versionOffset:]),
+		Position: catalog.Position{Epoch: binary.BigEndian.Uint64(sealed[epochOffset:]), Revision: binary.BigEndian.Uint64(sealed[revisionOffset:])},
+		Version:  binary.BigEndian.Uint64(sealed[versionOffset:]),
 	}, nil
 }
 
+// Precedes reports whether a snapshot of the position can have been written at the position
+// written. A snapshot of an earlier epoch cannot: it was taken before the store was
+// restored, and a host that was paused since may have written it.
+func Precedes(position, written catalog.Position) bool {
+	return position.Revision != 0 && position.Epoch == written.Epoch && written.After(position)
+}
+
 // Open checks and decodes a snapshot that was sealed with the peer key and stored at the
-// store revision. The page is marked as unconfirmed.
-func Open(peerKey, sealed []byte, revision uint64) (catalog.Page, error) {
+// position written. The page is marked as unconfirmed.
+func Open(peerKey, sealed []byte, written catalog.Position) (catalog.Page, error) {
 	header, err := Header(sealed)
 	if err != nil {
 		return catalog.Page{}, err
@@ -92,10 +103,11 @@
 	if err := gobpack.Unpack(sealed[pageOffset:], &page); err != nil {
 		return catalog.Page{}, fmt.Errorf("%w: %w", ErrInvalid, err)
 	}
-	if page.Position != header.Position || page.Position == 0 || page.Position >= revision {
-		return catalog.Page{}, fmt.Errorf("%w: position %d, stored at revision %d", ErrInvalid, page.Position, revision)
+	if page.Position != header.Position || !Precedes(page.Position, written) {
+		return catalog.Page{}, fmt.Errorf("%w: of epoch %d and revision %d, stored in epoch %d at revision %d",
+			ErrInvalid, page.Position.Epoch, page.Position.Revision, written.Epoch, written.Revision)
 	}
-	page.Unconfirmed, page.Next, page.Age, page.Via = true, "", 0, ""
+	page.Unconfirmed, page.Current, page.Next, page.Age, page.Via = true, false, "", 0, ""
 	return page, nil
 }
 
--- a/internal/snapshot/snapshot_test.go
+++ b/internal/snapshot/snapshot_test.go
@@ -25,16 +25,16 @@
 			Shares: []catalog.Share{{Service: "desk", Weight: 1}}, Timeout: 3 * time.Second, Objective: time.Second, Priority: 2,
 		})
 	}
-	page := &catalog.Page{Position: 900, Changes: []catalog.Change{{Revision: 5, Configuration: c}}}
+	page := &catalog.Page{Position: at(900), Changes: []catalog.Change{{Position: at(5), Configuration: c}}}
 	for i := range 600 {
 		id := random.Uint64()
-		page.Changes = append(page.Changes, catalog.Change{Revision: uint64(i), Upstream: &catalog.Upstream{
+		page.Changes = append(page.Changes, catalog.Change{Position: at(uint64(i)), Upstream: &catalog.Upstream{
 			ID: catalog.UpstreamID(id), Name: fmt.Sprintf("i-%016x", id), Service: "desk", DataCentre: "quay", Slots: 2,
-			Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(i >> 8), byte(i)}), 8080), Started: time.UnixMilli(random.Int64N(1e12)),
+			Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(i >> 8), byte(i)}), 8080), RecordID: catalog.RecordID{Started: time.UnixMilli(random.Int64N(1e12)), Sequence: 1},
 		}})
 	}
 	for i := range 118 {
-		page.Changes = append(page.Changes, catalog.Change{Revision: uint64(i), Host: &catalog.Host{
+		page.Changes = append(page.Changes, catalog.Change{Position: at(uint64(i)), Host: &catalog.Host{
 			Name: fmt.Sprintf("front-%d", i), DataCentre: "quay", Peer: netip.MustParseAddrPort("10.1.0.1:77"), Bandwidth: 20, Joined: uint64(i),
 		}})
 	}
@@ -58,8 +58,8 @@
 	g.Expect(len(sealed)).To(BeNumerically("<", 180_000))
 	header, err := Header(sealed)
 	g.Expect(err).NotTo(HaveOccurred())
-	g.Expect(header).To(Equal(catalog.Have{Position: 900, Version: 4}))
-	opened, err := Open(peerKey, sealed, 901)
+	g.Expect(header).To(Equal(catalog.Have{Position: at(900), Version: 4}))
+	opened, err := Open(peerKey, sealed, at(901))
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(opened.Unconfirmed).To(BeTrue())
 	g.Expect(opened.Changes).To(HaveLen(len(page.Changes)))
@@ -69,35 +69,37 @@
 // TestSnapshotOfAnotherWriterIsUseless covers bytes in the store that no host with the
 // same peer key wrote, or wrote in this form.
 func TestSnapshotOfAnotherWriterIsUseless(t *testing.T) {
-	sealed := seal(t, &catalog.Page{Position: 9, Changes: []catalog.Change{{Revision: 1, HostRemoved: "h"}}})
+	sealed := seal(t, &catalog.Page{Position: at(9), Changes: []catalog.Change{{Position: at(1), HostRemoved: "h"}}})
 	flipped := func(i int) []byte {
 		b := bytes.Clone(sealed)
 		b[i] ^= 1
 		return b
 	}
 	tests := []struct {
-		name     string
-		key      []byte
-		sealed   []byte
-		revision uint64
+		name    string
+		key     []byte
+		sealed  []byte
+		written catalog.Position
 	}{
-		{"empty", peerKey, nil, 10},
-		{"text", peerKey, []byte("some other writer's bytes, as long as a header and more"), 10},
-		{"torn", peerKey, sealed[:len(sealed)-1], 10},
-		{"longer", peerKey, append(bytes.Clone(sealed), 0), 10},
-		{"another format", peerKey, flipped(0), 10},
-		{"another position", peerKey, flipped(positionOffset + 7), 10},
-		{"another version", peerKey, flipped(versionOffset + 7), 10},
-		{"another HMAC", peerKey, flipped(macOffset), 10},
-		{"another page", peerKey, flipped(len(sealed) - 1), 10},
-		{"another peer key", bytes.Repeat([]byte{8}, 32), sealed, 10},
-		{"no peer key", nil, sealed, 10},
-		{"stored before its own position", peerKey, sealed, 9},
-		{"huge", peerKey, append(bytes.Clone(sealed), make([]byte, maxBytes)...), 10},
+		{"empty", peerKey, nil, at(10)},
+		{"text", peerKey, []byte("some other writer's bytes, as long as a header and more"), at(10)},
+		{"torn", peerKey, sealed[:len(sealed)-1], at(10)},
+		{"longer", peerKey, append(bytes.Clone(sealed), 0), at(10)},
+		{"another format", peerKey, flipped(0), at(10)},
+		{"another position", peerKey, flipped(revisionOffset + 7), at(10)},
+		{"another version", peerKey, flipped(versionOffset + 7), at(10)},
+		{"another HMAC", peerKey, flipped(macOffset), at(10)},
+		{"another page", peerKey, flipped(len(sealed) - 1), at(10)},
+		{"another peer key", bytes.Repeat([]byte{8}, 32), sealed, at(10)},
+		{"no peer key", nil, sealed, at(10)},
+		{"stored before its own position", peerKey, sealed, at(9)},
+		{"another epoch", peerKey, flipped(epochOffset + 7), at(10)},
+		{"of the epoch before a restore", peerKey, sealed, catalog.Position{Epoch: 1, Revision: 10}},
+		{"huge", peerKey, append(bytes.Clone(sealed), make([]byte, maxBytes)...), at(10)},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
-			if _, err := Open(test.key, test.sealed, test.revision); err == nil {
+			if _, err := Open(test.key, test.sealed, test.written); err == nil {
 				t.Error("the snapshot was accepted")
 			}
 		})
@@ -107,22 +109,23 @@
 func TestCatalogThatDoesNotFitIsNotSealed(t *testing.T) {
 	g := NewWithT(t)
 	random := rand.New(rand.NewPCG(1, 1))
-	page := &catalog.Page{Position: 1}
+	page := &catalog.Page{Position: at(1)}
 	for range maxBytes / 8 {
-		page.Changes = append(page.Changes, catalog.Change{Revision: random.Uint64(), Removed: fmt.Sprintf("%016x", random.Uint64())})
+		page.Changes = append(page.Changes, catalog.Change{Position: at(random.Uint64()), Removed: fmt.Sprintf("%016x", random.Uint64())})
 	}
 	_, err := Seal(peerKey, page, 1)
 	g.Expect(err).To(MatchError(ErrTooLarge))
 }
 
 func FuzzOpen(f *testing.F) {
-	f.Add(seal(f, &catalog.Page{Position: 9}), uint64(10))
-	f.Add(seal(f, largePage()), uint64(1000))
-	f.Add([]byte{format}, uint64(1))
-	f.Fuzz(func(t *testing.T, sealed []byte, revision uint64) {
-		page, err := Open(peerKey, sealed, revision)
-		if err == nil && (page.Position == 0 || page.Position >= revision) {
-			t.Errorf("position %d was accepted at revision %d", page.Position, revision)
+	f.Add(seal(f, &catalog.Page{Position: at(9)}), uint64(0), uint64(10))
+	f.Add(seal(f, largePage()), uint64(0), uint64(1000))
+	f.Add([]byte{format}, uint64(1), uint64(1))
+	f.Fuzz(func(t *testing.T, sealed []byte, epoch, revision uint64) {
+		written := catalog.Position{Epoch: epoch, Revision: revision}
+		page, err := Open(peerKey, sealed, written)
+		if err == nil && !Precedes(page.Position, written) {
+			t.Errorf("%+v was accepted at %+v", page.Position, written)
 		}
 	})
 }
--- a/internal/snapshot/store.go
+++ b/internal/snapshot/store.go
@@ -13,13 +13,16 @@
 	// ErrConflict means that the stored snapshot is not the one that the write was to
 	// replace.
 	ErrConflict = errors.New("another host has written a snapshot: wait until it is due again")
+	// ErrRestored means that the store was restored from a copy after the snapshot was
+	// taken.
+	ErrRestored = errors.New("the store was restored after the snapshot was taken: take another one")
 )
 
 // Record is a sealed snapshot in the store.
 type Record struct {
 	Sealed []byte
-	// Revision is the store revision of its write.
-	Revision uint64
+	// Written is the position of its write.
+	Written catalog.Position
 	// PeerKey is the peer key in the store.
 	PeerKey []byte
 }
@@ -28,9 +31,9 @@
 type Store interface {
 	// ReadSnapshot returns the snapshot in the store, or ErrNone.
 	ReadSnapshot(ctx context.Context) (Record, error)
-	// WriteSnapshot replaces the snapshot that was written at the revision previous,
-	// which is 0 if there must be none. The store removes it when the lease ends. The
+	// WriteSnapshot replaces the snapshot that was written at the position previous, whose
+	// revision is 0 if there must be none. The store removes it when the lease ends. The
 	// result is the snapshot in the store after the call: the written one, or, with
 	// ErrConflict, the one that another host has written.
-	WriteSnapshot(ctx context.Context, sealed []byte, lease, previous uint64) (catalog.StoredSnapshot, error)
+	WriteSnapshot(ctx context.Context, sealed []byte, lease uint64, previous catalog.Position) (catalog.StoredSnapshot, error)
 }
--- a/internal/soak/inject.go
+++ b/internal/soak/inject.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/netip"
+	"slices"
 	"syscall"
 	"time"
 
@@ -15,8 +16,9 @@
 	standin *standin.Upstream
 	// dc is the index of the upstream's data centre.
 	dc int
-	// retired is set once the upstream is draining or has crashed.
-	retired bool
+	// retired is set once the upstream is draining or has crashed, left once its
+	// registration has been removed.
+	retired, left bool
 }
 
 // drainTime is how long an upstream continues to serve after it has announced that
@@ -34,6 +36,8 @@
 	if err != nil {
 		return err
 	}
+	r.registryMu.Lock()
+	defer r.registryMu.Unlock()
 	r.upstreams = append(r.upstreams, &upstream{standin: u, dc: dc})
 	return r.store.Put(u.StoreKey(), u.Registration())
 }
@@ -143,10 +147,10 @@
 		changed = standin.Route{
 			Address: virtualAddress(9, r.routesAdded), Service: services[0], Repeatable: true, Priority: 2, Timeout: int(requestTimeout.Milliseconds()),
 		}
-		r.routes = append(r.routes, changed)
+		r.setRoutes(append(slices.Clone(r.routes), changed))
 	} else {
 		changed = r.routes[len(r.routes)-1]
-		r.routes = r.routes[:len(r.routes)-1]
+		r.setRoutes(r.routes[:len(r.routes)-1])
 	}
 	if err := r.publish(); err != nil {
 		r.recorder.RecordViolation("%v", err)
@@ -160,6 +164,13 @@
 	})
 }
 
+// setRoutes replaces the routes of the next configuration.
+func (r *soakRun) setRoutes(routes []standin.Route) {
+	r.registryMu.Lock()
+	defer r.registryMu.Unlock()
+	r.routes = routes
+}
+
 // verifyRoute sends a request to the address of a route. It records a violation if
 // the request is served although the route was removed, or is not served although
 // the route was added.
@@ -231,7 +242,7 @@
 		if lastFlowOpened := r.recorder.LastFlowOpened(u.standin.Name()); stable && r.stable() && lastFlowOpened.Sub(announcedAt) > applyWithin {
 			r.recorder.RecordViolation("%s got a new flow %s after announcing that it was draining", u.standin.Name(), lastFlowOpened.Sub(announcedAt).Round(time.Millisecond))
 		}
-		r.store.Remove(u.standin.StoreKey())
+		r.unregister(u)
 		u.standin.Close()
 	})
 }
@@ -243,7 +254,15 @@
 	if u == nil {
 		return
 	}
-	r.runStoreFault(u.standin.Close, func() { r.store.Remove(u.standin.StoreKey()) })
+	r.runStoreFault(u.standin.Close, func() { r.unregister(u) })
+}
+
+// unregister removes the registration of an upstream that has left.
+func (r *soakRun) unregister(u *upstream) {
+	r.registryMu.Lock()
+	defer r.registryMu.Unlock()
+	u.left = true
+	r.store.Remove(u.standin.StoreKey())
 }
 
 // pauseHost stops the process of a host with SIGSTOP and continues it later.
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -24,16 +24,18 @@
 
 // soakRun is the state of one run.
 type soakRun struct {
-	options   Options
-	random    *rand.Rand
-	dir       string
-	log       *syncWriter
-	readyPath string
-	store     *standin.Store
-	recorder  *standin.Recorder
-	counters  counters
-	hosts     []*hostProcess
-	callers   []*caller
+	options Options
+	random  *rand.Rand
+	// restoreRandom draws the restores of the store, apart from all other faults.
+	restoreRandom *rand.Rand
+	dir           string
+	log           *syncWriter
+	readyPath     string
+	store         *standin.Store
+	recorder      *standin.Recorder
+	counters      counters
+	hosts         []*hostProcess
+	callers       []*caller
 	// basePort is the port for packets. Hosts and upstreams also use the three ports
 	// after it.
 	basePort uint16
@@ -44,6 +46,12 @@
 	// pending counts background functions that are running and faults that are to end.
 	pending sync.WaitGroup
 
+	// copied is the copy from which the store is restored next; nil if there is none.
+	copied *storeCopy
+	// registryMu is held while the store, and the routes and upstreams that belong in it,
+	// change together. A restore writes them again.
+	registryMu sync.Mutex
+
 	// mu guards faultCounts, lastStoreFaultEnd and activeStoreFaults.
 	mu sync.Mutex
 	// version is the version of the configuration in the store.
@@ -74,7 +82,7 @@
 	}
 	defer store.Close()
 	r := &soakRun{
-		options: options, random: rand.New(rand.NewPCG(options.Seed, 7)), dir: dir, log: &syncWriter{w: options.Log},
+		options: options, random: rand.New(rand.NewPCG(options.Seed, 7)), restoreRandom: rand.New(rand.NewPCG(options.Seed, 11)), dir: dir, log: &syncWriter{w: options.Log},
 		readyPath: platform.ReadyPath, store: store, recorder: standin.NewRecorder(), faultCounts: make(map[string]int),
 	}
 	ctx, cancel := context.WithCancel(ctx)
@@ -190,6 +198,8 @@
 
 // publish writes the configuration to the store, with a higher version.
 func (r *soakRun) publish() error {
+	r.registryMu.Lock()
+	defer r.registryMu.Unlock()
 	version := r.version.Add(1 + uint64(r.random.IntN(3)))
 	return r.store.Put(standin.ConfigurationKey, standin.Configuration(version, r.routes, services))
 }
@@ -251,6 +261,7 @@
 		kinds := plannedOperations
 		if time.Since(started)%(plannedPhase+faultPhase) > plannedPhase {
 			kinds = append(slices.Clone(plannedOperations), externalFaults...)
+			r.restoreStoreAtRandom()
 		}
 		r.inject(kinds)
 	}
