echo, evidence: hosts learn together which upstreams fail

Cause: a host judges upstreams by its own flows. On the grown site it meets an upstream 0.4 times a second, so that 24 dark ones took each of 30 hosts seconds to find, and upstreams that answer with errors were never found: they answer in 1 ms where the work takes 25, look idle, and draw more flows.

Change: a host counts answers that are shorter than nearly all of their route's and not slower, overdue requests, and strikes. Sums go up and down the tree of hosts over RPC while an upstream is in question. Two strikes of two hosts suspect an upstream, failed answers that are a quarter of all eject it for 2 s and longer, with a cap, a way back and none when the whole pool changes. Failed answers add to an upstream's cost.

--- a/internal/edge/host.go
+++ b/internal/edge/host.go
@@ -13,6 +13,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/oatlatch/oatlatch/internal/catalog"
+	"github.com/oatlatch/oatlatch/internal/evidencerpc"
 	"github.com/oatlatch/oatlatch/internal/feed"
 	"github.com/oatlatch/oatlatch/internal/flow/echo"
 	"github.com/oatlatch/oatlatch/internal/forward"
@@ -40,6 +41,7 @@
 	forwarder       *forward.EchoForwarder
 	prober          *prober
 	peers           *peers
+	exchange        *evidencerpc.Exchange
 	snapshots       *snapshotPublisher
 	readyListener   net.Listener
 	metricsListener net.Listener
@@ -59,6 +61,7 @@
 	h.settings.Store(s)
 	h.engine = echo.New(echo.Options{
 		DataCentre: s.Host.DataCentre, MaxFlows: s.Limits.Flows, Seed: options.Seed, OnEvent: h.handleEvent,
+		OnEvidence: func() { h.exchange.Notify() },
 	})
 	h.prober = newProber(h.engine, options.Check, options.Now, options.Logger)
 	feedMetrics, err := feed.NewMetrics(h.registry)
@@ -71,6 +74,8 @@
 	}
 	options.Store.OnSkippedRecord(skippedRecords.add)
 	h.peers = newPeers(options, h.registry)
+	h.exchange = evidencerpc.New(evidencerpc.Options{Engine: h.engine, Client: h.peers.evidenceClient, Now: options.Now})
+	h.peers.exchange = h.exchange
 	h.snapshots = &snapshotPublisher{
 		store: options.Snapshots, schedule: snapshot.NewSchedule(s.Store.History / refreshesPerHistory), lease: h.peers.lease,
 		now: options.Now, logger: options.Logger, wake: make(chan struct{}, 1),
@@ -112,6 +117,7 @@
 	group.Go(func() error { return h.prober.run(groupCtx) })
 	group.Go(func() error { return new(stallDetector).run(groupCtx, h.options.Now, h.options.Logger) })
 	group.Go(func() error { return h.peers.run(groupCtx) })
+	group.Go(func() error { return h.exchange.Run(groupCtx) })
 	group.Go(func() error { return h.snapshots.run(groupCtx) })
 	group.Go(func() error { return reloader.Run(groupCtx) })
 	h.serveHTTP(groupCtx, group)
@@ -133,6 +139,8 @@
 	h.engine.SetView(h.options.Now(), view)
 	h.forwarder.ReleaseHeld()
 	h.peers.setView(&view)
+	self := &h.options.Settings.Host
+	h.exchange.SetParents(feed.Parents(view.Hosts, self.ID, self.DataCentre))
 	h.snapshots.setView(&view, h.options.Settings.Host.DataCentre)
 	if h.serving.CompareAndSwap(false, true) {
 		h.options.Logger.Info().Uint64("version", view.Configuration.Version).Int("upstreams", len(view.Upstreams)).
@@ -149,7 +157,9 @@
 	line := h.options.Logger.Warn().Str("upstream", event.Upstream).Str("data_centre", event.DataCentre).Dur("age_ms", event.Age)
 	switch event.Kind {
 	case echo.Suspected, echo.Cleared:
-		line = line.Stringer("reason", event.Reason).Int("strikes", event.UnansweredFlows)
+		line = line.Stringer("reason", event.Reason).Int("strikes", event.UnansweredFlows).Int("hosts", event.Hosts)
+	case echo.Ejected:
+		line = line.Stringer("reason", event.Reason).Float64("answers", event.Answers).Float64("failed", event.FailedAnswers).Int("hosts", event.Hosts)
 	case echo.Unopened, echo.Unanswered:
 		line = line.Str("flow", event.Caller.String()+">"+event.Address.String())
 	}
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -11,6 +11,7 @@
 
 	"github.com/oatlatch/oatlatch/internal/catalog"
 	"github.com/oatlatch/oatlatch/internal/catalogrpc"
+	"github.com/oatlatch/oatlatch/internal/evidencerpc"
 	"github.com/oatlatch/oatlatch/internal/feed"
 	"github.com/oatlatch/oatlatch/internal/host"
 	"github.com/oatlatch/oatlatch/internal/peer"
@@ -25,8 +26,9 @@
 type peers struct {
 	options  Options
 	registry prometheus.Registerer
-	// catalog is served to other hosts. It is set before run.
-	catalog catalogrpc.CatalogProvider
+	// catalog and exchange are served to other hosts. They are set before run.
+	catalog  catalogrpc.CatalogProvider
+	exchange *evidencerpc.Exchange
 	// keys passes the peer keys to use, and lostKeys those to write to the store again.
 	keys     latest[peerKeys]
 	lostKeys latest[lostPeerKey]
@@ -83,6 +85,15 @@
 	return catalogrpc.NewSource(client, h.Peer)
 }
 
+// evidenceClient returns the client for calls to other hosts, or nil while the peer key is
+// unknown.
+func (p *peers) evidenceClient() evidencerpc.Client {
+	if client := p.client.Load(); client != nil {
+		return client
+	}
+	return nil
+}
+
 // lease returns the lease of this host's registration; its ID is 0 while there is none.
 func (p *peers) lease() registration.Lease {
 	registrar := p.registrar.Load()
@@ -125,6 +136,7 @@
 		return fmt.Errorf("settings:listen.peer: %w", err)
 	}
 	server.Register(catalogrpc.ServiceName, func(caller host.ID) any { return catalogrpc.NewService(p.catalog, caller) })
+	server.Register(evidencerpc.ServiceName, func(caller host.ID) any { return evidencerpc.NewService(p.exchange, caller) })
 	client := peer.NewClient(peer.ClientOptions{
 		Self: host.ID(s.Host.ID), TLS: credentials, Logger: p.options.Logger, Registerer: p.registry, Now: p.options.Now,
 		Limits: peer.Limits{IdleTimeout: peerIdleTimeout},
--- /dev/null
+++ b/internal/evidence/entry.go
@@ -0,0 +1,56 @@
+// Package evidence combines what the entry hosts have seen of upstreams that look failed.
+// A host alone sees a large pool's upstream too rarely to judge it; together they see it
+// many times as often. Hosts form a tree: each sends its parent the sums of its own
+// evidence and that of its children, and receives the sums of all hosts.
+package evidence
+
+import (
+	"time"
+
+	"github.com/oatlatch/oatlatch/internal/catalog"
+)
+
+// NoAnswer is the AnswerAge of an upstream that no host has had an answer from lately.
+const NoAnswer = time.Hour
+
+// Entry is what one or several hosts have lately seen of an upstream. Ages count from the
+// time of the report that holds the entry.
+type Entry struct {
+	Upstream catalog.UpstreamID
+	// Answers and Failed are the numbers of answers, and of those that looked failed or
+	// were overdue. Older ones count less.
+	Answers, Failed float32
+	// FailingHosts is the number of hosts with failed answers.
+	FailingHosts int
+	// Strikes is the number of flows that had no answer, and of no flow had one since the
+	// first of these packets was sent. SilentHosts is the number of hosts with such flows.
+	Strikes, SilentHosts int
+	// StrikeAge is the age of the oldest of these packets.
+	StrikeAge time.Duration
+	// AnswerAge is the age of the last answer, or NoAnswer.
+	AnswerAge time.Duration
+}
+
+// add returns the entry for the hosts of both entries together. Strikes of one side are
+// void if the other one has had an answer since.
+func (e Entry) add(other Entry) Entry {
+	sum := Entry{
+		Upstream: e.Upstream, Answers: e.Answers + other.Answers, Failed: e.Failed + other.Failed,
+		FailingHosts: e.FailingHosts + other.FailingHosts, AnswerAge: min(e.AnswerAge, other.AnswerAge),
+	}
+	for _, side := range []*Entry{&e, &other} {
+		if side.Strikes > 0 && side.StrikeAge < sum.AnswerAge {
+			sum.Strikes += side.Strikes
+			sum.SilentHosts += side.SilentHosts
+			sum.StrikeAge = max(sum.StrikeAge, side.StrikeAge)
+		}
+	}
+	return sum
+}
+
+// questions reports whether the entry gives a reason to ask other hosts about the upstream.
+func (e *Entry) questions() bool { return e.Strikes > 0 || e.Failed >= minFailed }
+
+// minFailed is the number of failed answers from which on an upstream is in question. Less
+// is left of a single one after one decay time.
+const minFailed = 0.5
--- /dev/null
+++ b/internal/evidencerpc/exchange.go
@@ -0,0 +1,285 @@
+package evidencerpc
+
+import (
+	"context"
+	"net/netip"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/oatlatch/oatlatch/internal/catalog"
+	"github.com/oatlatch/oatlatch/internal/evidence"
+	"github.com/oatlatch/oatlatch/internal/wait"
+)
+
+const (
+	// idleWait is how long a call waits for news while no upstream is in question.
+	idleWait = 4 * time.Second
+	// questionWait is how long a call waits while one is. Reports are renewed as often, in
+	// less than half of evidence.ReportTTL.
+	questionWait = 500 * time.Millisecond
+	// callSlack is the time allowed beyond the wait for a reply to arrive.
+	callSlack = time.Second
+	// minGap is the time after which a report has arrived if its call has not failed, and
+	// callGap the pause between two calls.
+	minGap  = 50 * time.Millisecond
+	callGap = 50 * time.Millisecond
+	// retryDelay is the delay after a failed call, and while there is no parent.
+	retryDelay = time.Second
+)
+
+// Client makes calls to other hosts.
+type Client interface {
+	// CallAddress calls a method of the host at the address.
+	CallAddress(ctx context.Context, to netip.AddrPort, method string, args, reply any) error
+}
+
+// Engine holds the evidence of this host and acts on that of all hosts.
+type Engine interface {
+	// Evidence returns what the host has seen of the upstreams that look failed to it, and
+	// of those in question.
+	Evidence(now time.Time, inQuestion map[catalog.UpstreamID]struct{}) []evidence.Entry
+	// SetEvidence replaces the evidence of all hosts.
+	SetEvidence(now time.Time, entries []evidence.Entry)
+}
+
+// Options configures an Exchange.
+type Options struct {
+	Engine Engine
+	// Client returns the client for calls, or nil while hosts cannot call each other.
+	Client func() Client
+	Now    func() time.Time
+}
+
+// Exchange exchanges evidence with the parent and the children of this host.
+type Exchange struct {
+	options Options
+	// wake receives a value when there is new evidence for the parent.
+	wake chan struct{}
+
+	mu   sync.Mutex
+	node *evidence.Node
+	// parents are the hosts to call, the next one after a failure; empty for the first
+	// host. parent is the one in use.
+	parents []catalog.Host
+	parent  *catalog.Host
+	// parentVersion is the version of the parent's last reply, received the number of
+	// replies that brought a new one.
+	parentVersion, received uint64
+	// changed is closed and replaced when the total changes.
+	changed chan struct{}
+}
+
+// New returns an exchange without a parent.
+func New(options Options) *Exchange {
+	return &Exchange{options: options, wake: make(chan struct{}, 1), node: evidence.NewNode(), changed: make(chan struct{})}
+}
+
+// SetParents replaces the hosts to call: the parent first, and others for when it fails.
+func (x *Exchange) SetParents(parents []catalog.Host) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if slices.Equal(parents, x.parents) {
+		return
+	}
+	x.parents = parents
+	x.useParentLocked(0)
+}
+
+// useParentLocked makes the host with the index the one to call. x.mu must be held.
+func (x *Exchange) useParentLocked(index int) {
+	x.parent, x.parentVersion = nil, 0
+	if len(x.parents) > 0 {
+		x.parent = &x.parents[index%len(x.parents)]
+	}
+}
+
+// replaceParent makes the next host the one to call after a call to parent has failed.
+func (x *Exchange) replaceParent(parent *catalog.Host) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if i := slices.IndexFunc(x.parents, func(h catalog.Host) bool { return h == *parent }); i >= 0 {
+		x.useParentLocked(i + 1)
+	}
+}
+
+// Notify makes the exchange report new evidence soon. It never blocks.
+func (x *Exchange) Notify() {
+	select {
+	case x.wake <- struct{}{}:
+	default:
+	}
+}
+
+// Run calls the parent until ctx is cancelled.
+func (x *Exchange) Run(ctx context.Context) error {
+	for {
+		x.mu.Lock()
+		parent := x.parent
+		x.mu.Unlock()
+		client := x.options.Client()
+		delay := retryDelay
+		if parent != nil && client != nil {
+			if x.call(ctx, client, *parent) {
+				delay = callGap
+			}
+		} else {
+			x.judge()
+		}
+		if x.pause(ctx, delay) != nil {
+			return nil
+		}
+	}
+}
+
+// pause waits for the delay. While there is no parent, new evidence ends it.
+func (x *Exchange) pause(ctx context.Context, delay time.Duration) error {
+	if delay == callGap {
+		return wait.Sleep(ctx, delay)
+	}
+	timer := time.NewTimer(delay)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-timer.C:
+		return nil
+	case <-x.wake:
+		return wait.Sleep(ctx, callGap)
+	}
+}
+
+// call reports to the parent and merges its reply. Evidence that is newer than the report
+// ends the wait for the reply, but not before minGap, so that each report arrives. It
+// returns false if the call failed.
+func (x *Exchange) call(ctx context.Context, client Client, parent catalog.Host) bool {
+	select {
+	case <-x.wake: // the report holds this evidence
+	default:
+	}
+	args := x.nextCall()
+	ctx, cancel := context.WithTimeout(ctx, args.Wait+callSlack)
+	defer cancel()
+	replied := make(chan error, 1)
+	var reply ExchangeReply
+	go func() { replied <- client.CallAddress(ctx, parent.Peer, ServiceName+".Exchange", args, &reply) }()
+	sent := time.NewTimer(minGap)
+	defer sent.Stop()
+	var newer <-chan struct{} // nil until the report must have arrived
+	for {
+		select {
+		case err := <-replied:
+			if err != nil {
+				x.replaceParent(&parent)
+				x.judge()
+				return false
+			}
+			x.merge(&parent, &reply)
+			return true
+		case <-sent.C:
+			newer = x.wake
+		case <-newer:
+			cancel()
+			<-replied // the parent has the report, its reply comes with the next call
+			return true
+		}
+	}
+}
+
+// nextCall returns the arguments of the next call.
+func (x *Exchange) nextCall() *ExchangeArgs {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	report := x.subtreeLocked()
+	args := &ExchangeArgs{Report: report, Version: x.parentVersion, Wait: idleWait}
+	if len(report.Entries) > 0 {
+		args.Wait = questionWait
+	}
+	return args
+}
+
+// merge merges the parent's reply.
+func (x *Exchange) merge(parent *catalog.Host, reply *ExchangeReply) {
+	x.mu.Lock()
+	if x.parent != nil && x.parent.Name == parent.Name {
+		x.node.SetTotal(x.options.Now(), reply.Total)
+		if reply.Version != x.parentVersion {
+			x.parentVersion = reply.Version
+			x.received++
+			x.announceLocked()
+		}
+	}
+	x.mu.Unlock()
+	x.judge()
+}
+
+// addReport merges the report of a child.
+func (x *Exchange) addReport(child string, report evidence.Report) {
+	x.mu.Lock()
+	before := x.node.Version()
+	x.node.AddReport(x.options.Now(), child, report)
+	news := x.node.Version() != before
+	isRoot := x.parent == nil
+	if news && isRoot {
+		x.announceLocked()
+	}
+	x.mu.Unlock()
+	if news {
+		x.Notify()
+	}
+	if news && isRoot {
+		x.judge()
+	}
+}
+
+// announceLocked ends the waits of children. x.mu must be held.
+func (x *Exchange) announceLocked() {
+	close(x.changed)
+	x.changed = make(chan struct{})
+}
+
+// currentVersion returns the version of the total, and a channel that is closed when it
+// changes.
+func (x *Exchange) currentVersion() (uint64, <-chan struct{}) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return x.versionLocked(), x.changed
+}
+
+// versionLocked returns the version of the total. x.mu must be held.
+func (x *Exchange) versionLocked() uint64 { return 1 + x.received + x.node.Version() }
+
+// total returns the evidence of all hosts and its version.
+func (x *Exchange) total() (evidence.Report, uint64) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	now := x.options.Now()
+	return x.node.Total(now, x.ownLocked(now), x.parentNameLocked()), x.versionLocked()
+}
+
+// judge passes the evidence of all hosts to the engine.
+func (x *Exchange) judge() {
+	total, _ := x.total()
+	if len(total.Entries) > 0 {
+		x.options.Engine.SetEvidence(x.options.Now(), total.Entries)
+	}
+}
+
+// subtreeLocked returns the report for the parent. x.mu must be held.
+func (x *Exchange) subtreeLocked() evidence.Report {
+	now := x.options.Now()
+	return x.node.Subtree(now, x.ownLocked(now), x.parentNameLocked())
+}
+
+// ownLocked returns this host's own evidence. x.mu must be held.
+func (x *Exchange) ownLocked(now time.Time) []evidence.Entry {
+	return x.options.Engine.Evidence(now, x.node.InQuestion(now))
+}
+
+// parentNameLocked returns the name of the parent, or "". x.mu must be held.
+func (x *Exchange) parentNameLocked() string {
+	if x.parent == nil {
+		return ""
+	}
+	return x.parent.Name
+}
--- a/internal/experiment/caller.go
+++ b/internal/experiment/caller.go
@@ -22,6 +22,8 @@
 	flowReset
 	// timedOut means that no response arrived in time.
 	timedOut
+	// errored means that the upstream ran the request and responded with an error.
+	errored
 )
 
 // caller is a simulated caller that sends one request at a time.
@@ -199,7 +201,7 @@
 	switch d.Verdict {
 	case echo.Forward:
 		u := sim.byID[d.Upstream]
-		if sim.partitioned(h.dc, u.dc) {
+		if sim.partitioned(h.dc, u.dc) || h.lossRate > 0 && sim.random.Float64() < h.lossRate {
 			return
 		}
 		delay := localDelay
@@ -233,13 +235,16 @@
 		return
 	}
 	f.completed = number
-	f.ack += 2000
+	f.ack += responseSize
+	if o == errored || o == rejected {
+		f.ack -= responseSize - errorSize
+	}
 	f.sendPacket(echo.Segment{ACK: true}, func(*upstreamNode) {})
 	if !c.persistent || f.upstream.draining {
 		f.close()
 	}
-	if o == rejected {
-		c.retryOrFinish(rejected)
+	if o == rejected || o == errored {
+		c.retryOrFinish(o)
 		return
 	}
 	c.finish(served)
--- a/internal/experiment/options.go
+++ b/internal/experiment/options.go
@@ -33,6 +33,8 @@
 	// the number of requests that it queues before it rejects further ones.
 	ServiceTime time.Duration
 	QueueSize   int
+	// IsolatedHosts makes hosts judge upstreams by their own evidence alone.
+	IsolatedHosts bool
 	// Outage is how long the pattern power-loss stops all hosts. They start within
 	// StartSpread after it, each of which has its first view after StartDelay.
 	Outage, StartSpread, StartDelay time.Duration
@@ -91,6 +93,11 @@
 	serviceTimeSigma = 0.5
 	// persistentShare is the fraction of callers that keep a flow open.
 	persistentShare = 0.7
+	// responseSize is the size of a response in bytes, errorSize that of one that reports
+	// an error, and errorTime the time until the latter.
+	responseSize = 2000
+	errorSize    = 200
+	errorTime    = time.Millisecond
 	// maxRetries is the number of times that a caller retries a request.
 	maxRetries = 2
 	// coldSlowdown multiplies the service times of a cold upstream until warmupTime
@@ -104,6 +111,10 @@
 	// callerDelay is the delay between callers and hosts, and of the responses that
 	// upstreams send directly to callers.
 	callerDelay = 3 * time.Millisecond
+	// evidenceInterval is the interval at which hosts exchange evidence, and evidenceDelay
+	// the time until all have the sums.
+	evidenceInterval = 100 * time.Millisecond
+	evidenceDelay    = 20 * time.Millisecond
 	// localDelay is the delay between a host and an upstream of its data centre.
 	localDelay = 200 * time.Microsecond
 	// remoteDelay is the delay between a host and an upstream of another data centre.
--- a/internal/experiment/pattern.go
+++ b/internal/experiment/pattern.go
@@ -44,6 +44,11 @@
 		{"silent-upstreams", "a quarter of the upstreams stops responding", silentUpstreams},
 		{"flapping", "two upstreams stop responding and recover, repeatedly", flapping},
 		{"grey-upstreams", "two upstreams drop 40% of their requests", greyUpstreams},
+		{"sinkhole", "a quarter of the upstreams answers each request with an error at once for eight seconds", sinkhole},
+		{"grey-fleet", "a fifth of the upstreams answers 40% of its requests with an error for eight seconds", greyFleet},
+		{"dark-many", "a fifth of the upstreams falls silent at once for five seconds", darkMany},
+		{"mute", "a fifth of the upstreams runs requests without a response for six seconds", muteUpstreams},
+		{"lossy-host", "one host loses a third of its packets to upstreams", lossyHost},
 		{"slow-upstreams", "two upstreams are four times slower", slowUpstreams},
 		{"mass-restart", "all hosts are down for a second", massRestart},
 		{"power-loss", "all hosts are down for --outage, start one after the other within --start-spread, and know nothing for --start-delay", powerLoss},
@@ -72,9 +77,16 @@
 	if policy == echo.SharedEstimates {
 		sim.shareEstimates()
 	}
+	if !options.IsolatedHosts {
+		sim.shareEvidence()
+	}
 	p.schedule(sim)
 	sim.runEvents()
-	return sim.recorder.summarize(p.Name, policy.String())
+	result := sim.recorder.summarize(p.Name, policy.String())
+	for _, h := range sim.hosts {
+		result.Ejections += h.ejections
+	}
+	return result
 }
 
 // startCallers starts the number of callers that keeps the fraction Options.Load of
@@ -162,6 +174,38 @@
 	}
 }
 
+// disturb applies begin to every n-th upstream for the time, and then end.
+func disturb(sim *simulation, n int, length time.Duration, begin, end func(*upstreamNode)) {
+	for i, u := range sim.upstreams {
+		if i%n == 0 {
+			sim.at(patternStart, func() { begin(u) })
+			sim.at(patternStart+length, func() { end(u) })
+		}
+	}
+}
+
+func sinkhole(sim *simulation) {
+	disturb(sim, 4, 8*time.Second, func(u *upstreamNode) { u.errorRate = 1 }, func(u *upstreamNode) { u.errorRate = 0 })
+}
+
+func greyFleet(sim *simulation) {
+	disturb(sim, 5, 8*time.Second, func(u *upstreamNode) { u.errorRate = 0.4 }, func(u *upstreamNode) { u.errorRate = 0 })
+}
+
+func darkMany(sim *simulation) {
+	disturb(sim, 5, 5*time.Second, func(u *upstreamNode) { u.silent = true }, func(u *upstreamNode) { u.silent = false })
+}
+
+func muteUpstreams(sim *simulation) {
+	disturb(sim, 5, 6*time.Second, func(u *upstreamNode) { u.muteRate = 1 }, func(u *upstreamNode) { u.muteRate = 0 })
+}
+
+func lossyHost(sim *simulation) {
+	h := sim.hosts[0]
+	sim.at(patternStart, func() { h.lossRate = 1.0 / 3 })
+	sim.at(patternEnd, func() { h.lossRate = 0 })
+}
+
 func slowUpstreams(sim *simulation) {
 	for _, u := range sim.upstreams[:2] {
 		sim.at(patternStart, func() { u.slowdown = 4 })
--- a/internal/experiment/result.go
+++ b/internal/experiment/result.go
@@ -24,6 +24,8 @@
 	// before it was established. Failed is the number of requests that timed out or
 	// whose flow was reset later.
 	Refused, Failed int
+	// Ejections is the number of times that a host ejected an upstream.
+	Ejections int
 	// Worth is the fraction of requests that were served, where late responses are
 	// weighted with lateWeight.
 	Worth float64
--- a/internal/experiment/simulation.go
+++ b/internal/experiment/simulation.go
@@ -2,12 +2,15 @@
 
 import (
 	"fmt"
+	"maps"
 	"math"
 	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/oatlatch/oatlatch/internal/catalog"
+	"github.com/oatlatch/oatlatch/internal/evidence"
 	"github.com/oatlatch/oatlatch/internal/flow/echo"
 	"github.com/oatlatch/oatlatch/internal/standin/virtual"
 )
@@ -71,6 +74,10 @@
 	// down is set while the host forwards nothing, withdrawn while routers send it
 	// no packets.
 	down, withdrawn bool
+	// lossRate is the fraction of the host's packets to upstreams that are lost.
+	lossRate float64
+	// ejections is the number of upstreams that the host has ejected.
+	ejections int
 }
 
 // newSimulation returns a simulation with upstreams and running hosts, but without
@@ -132,6 +139,11 @@
 		DataCentre: dataCentreName(h.dc), Seed: sim.random.Uint64(), Policy: sim.policy,
 		ActualLoad:         func(id catalog.UpstreamID) float64 { return sim.actualLoad(h, id) },
 		OutstandingAtPeers: func(id catalog.UpstreamID) int { return h.pendingAtPeers[id] },
+		OnEvent: func(event echo.Event) {
+			if event.Kind == echo.Ejected {
+				h.ejections++
+			}
+		},
 	})
 }
 
@@ -140,7 +152,7 @@
 // The small addition for other data centres makes local upstreams win ties.
 func (sim *simulation) actualLoad(h *hostNode, id catalog.UpstreamID) float64 {
 	u := sim.byID[id]
-	if u.silent || sim.partitioned(h.dc, u.dc) {
+	if u.silent || u.errorRate > 0 || u.muteRate > 0 || sim.partitioned(h.dc, u.dc) {
 		return math.Inf(1)
 	}
 	load := float64(u.running+len(u.queue)) / (float64(u.slots) / u.serviceTimeFactor(sim.now))
@@ -262,6 +274,50 @@
 	}
 }
 
+// shareEvidence gives the hosts of each part of the network the sums of their evidence, and
+// schedules the next exchange while callers send requests.
+func (sim *simulation) shareEvidence() {
+	parts := make(map[int][]*hostNode)
+	for _, h := range sim.hosts {
+		part := -1 // of all data centres that are not cut off
+		if sim.isolated[h.dc] {
+			part = h.dc
+		}
+		if !h.down {
+			parts[part] = append(parts[part], h)
+		}
+	}
+	for _, part := range slices.Sorted(maps.Keys(parts)) {
+		sim.shareEvidenceAmong(parts[part])
+	}
+	if sim.now.Before(epoch.Add(sim.options.Duration)) {
+		sim.after(evidenceInterval, sim.shareEvidence)
+	}
+}
+
+// shareEvidenceAmong gives the hosts the sums of their evidence.
+func (sim *simulation) shareEvidenceAmong(hosts []*hostNode) {
+	node := evidence.NewNode()
+	for _, ask := range []bool{false, true} {
+		// In the second round, hosts add what they know of upstreams in question.
+		inQuestion := make(map[catalog.UpstreamID]struct{})
+		if ask {
+			inQuestion = node.InQuestion(sim.now)
+		}
+		for _, h := range hosts {
+			node.AddReport(sim.now, h.name, evidence.Report{Entries: h.engine.Evidence(sim.now, inQuestion), Depth: 1})
+		}
+	}
+	total := node.Subtree(sim.now, nil, "")
+	sim.after(evidenceDelay, func() {
+		for _, h := range hosts {
+			if !h.down {
+				h.engine.SetEvidence(sim.now, total.Entries)
+			}
+		}
+	})
+}
+
 // logNormal returns a log-normally distributed duration with the given mean; sigma
 // is the standard deviation of its logarithm.
 func (sim *simulation) logNormal(mean time.Duration, sigma float64) time.Duration {
--- a/internal/experiment/upstream.go
+++ b/internal/experiment/upstream.go
@@ -24,8 +24,10 @@
 	// draining is set if callers close each flow after its next response, silent if
 	// the upstream ignores all packets.
 	draining, silent bool
-	// dropRate is the fraction of requests that the upstream ignores.
-	dropRate float64
+	// dropRate is the fraction of requests that the upstream ignores, errorRate that of
+	// requests to which it responds with an error at once, and muteRate that of requests
+	// that it runs without a response.
+	dropRate, errorRate, muteRate float64
 	// slowdown multiplies the service times.
 	slowdown float64
 	// departed is set if the next views of hosts list the upstream as departed,
@@ -98,6 +100,10 @@
 		return // a retransmission, or the flow belongs to another upstream
 	}
 	r.flow.accepted = r.number
+	if sim.random.Float64() < u.errorRate {
+		sim.after(errorTime+callerDelay, func() { r.flow.handleResponse(r.number, errored) })
+		return
+	}
 	if u.running >= u.slots {
 		if len(u.queue) >= sim.options.QueueSize {
 			sim.after(callerDelay, func() { r.flow.handleResponse(r.number, rejected) })
@@ -120,7 +126,9 @@
 		if u.silent {
 			return
 		}
-		sim.after(callerDelay, func() { r.flow.handleResponse(r.number, served) })
+		if sim.random.Float64() >= u.muteRate {
+			sim.after(callerDelay, func() { r.flow.handleResponse(r.number, served) })
+		}
 		if len(u.queue) > 0 {
 			next := u.queue[0]
 			u.queue = u.queue[1:]
--- a/internal/feed/selector.go
+++ b/internal/feed/selector.go
@@ -63,15 +63,7 @@
 			remote = append(remote, h)
 		}
 	}
-	s.parent = nil
-	switch {
-	case index > 0:
-		s.parent = &local[(index-1)/fanOut]
-	case index < 0 && len(local) > 0:
-		// This host is not registered yet: choose its parent as if it followed the
-		// last host in the order.
-		s.parent = &local[(len(local)-1)/fanOut]
-	}
+	s.parent = parentOf(local, index)
 	s.peers = s.peers[:0]
 	cooldownUntil := make(map[string]time.Time)
 	for _, h := range append(local, remote...) {
@@ -86,6 +78,49 @@
 	s.cooldownUntil = cooldownUntil // without hosts that have left
 }
 
+// parentOf returns the parent in the tree of the local hosts of the one with the index, or
+// nil if it is the first. An index below 0 is that of a host that is not registered yet.
+func parentOf(local []catalog.Host, index int) *catalog.Host {
+	switch {
+	case index > 0:
+		return &local[(index-1)/fanOut]
+	case index < 0 && len(local) > 0:
+		// Choose the parent as if the host followed the last one in the order.
+		return &local[(len(local)-1)/fanOut]
+	default:
+		return nil
+	}
+}
+
+// Parents returns the hosts to which the named host of the data centre reports, the
+// preferred one first: its parent in the tree of the data centre's hosts, and the first
+// host of the data centre. The first hosts of data centres report to the first of all
+// hosts, which reports to none. hosts must be in the order of catalog.View.Hosts.
+func Parents(hosts []catalog.Host, name, dataCentre string) []catalog.Host {
+	var local []catalog.Host
+	index := -1
+	for _, h := range hosts {
+		if h.DataCentre != dataCentre {
+			continue
+		}
+		if h.Name == name {
+			index = len(local)
+		}
+		local = append(local, h)
+	}
+	parent := parentOf(local, index)
+	switch {
+	case parent != nil && parent.Name != local[0].Name:
+		return []catalog.Host{*parent, local[0]}
+	case parent != nil:
+		return []catalog.Host{*parent}
+	case len(hosts) > 0 && hosts[0].DataCentre != dataCentre:
+		return hosts[:1:1]
+	default:
+		return nil
+	}
+}
+
 // next returns the host to read next, or nil for the store.
 func (s *sourceSelector) next(now time.Time) *catalog.Host {
 	if s.parent != nil && s.usable(now, s.parent) {
--- a/internal/flow/echo/choose.go
+++ b/internal/flow/echo/choose.go
@@ -11,21 +11,23 @@
 )
 
 // selectUpstream returns the upstream for a new flow of the route and its pool, or nil.
-// The upstream to avoid may be chosen only if the service picked for the flow has no
-// other healthy one.
+// The upstream to avoid, and ejected ones, may be chosen only if the service picked for the
+// flow has no other healthy one.
 func (e *Engine) selectUpstream(now time.Time, r *route, avoid *upstream) (*upstream, *pool) {
 	p := e.pools[e.pickService(r)]
-	if u := e.chooseFromPool(now, p, avoid, isHealthy); u != nil {
+	takesFlow := func(u *upstream) bool { return isHealthy(u) && e.takesFlow(now, r, u) }
+	if u := e.chooseFromPool(now, p, avoid, takesFlow); u != nil {
 		return u, p
 	}
-	return e.chooseFallback(now, r)
+	return e.chooseFallback(now, r, takesFlow)
 }
 
-// chooseFallback returns an upstream of the first of the route's services that has a
-// healthy one, or else of the first that has one which accepts new flows. It returns nil
-// if none has.
-func (e *Engine) chooseFallback(now time.Time, r *route) (*upstream, *pool) {
-	for _, eligible := range []func(*upstream) bool{isHealthy, isAvailable} {
+// chooseFallback returns an upstream of the first of the route's services that has one
+// which takes the flow, or else of the first that has a healthy one, although it is
+// ejected, or else of the first that has one which accepts new flows. It returns nil if
+// none has.
+func (e *Engine) chooseFallback(now time.Time, r *route, takesFlow func(*upstream) bool) (*upstream, *pool) {
+	for _, eligible := range []func(*upstream) bool{takesFlow, isHealthy, isAvailable} {
 		for _, share := range r.Shares {
 			p := e.pools[share.Service]
 			if u := e.chooseFromPool(now, p, nil, eligible); u != nil {
--- a/internal/flow/echo/engine.go
+++ b/internal/flow/echo/engine.go
@@ -33,6 +33,8 @@
 	// allowedServices are the services that any applied configuration had for the
 	// route, so that open flows stay valid when the route moves to another service.
 	allowedServices map[string]struct{}
+	// typical tells which answers of the route are usual.
+	typical *typicalAnswer
 	// sheddable is set if new flows may be refused under overload in favour of
 	// routes with a higher priority.
 	sheddable bool
@@ -48,6 +50,8 @@
 	// version is the version of the applied configuration, or zero if there is none yet.
 	version     uint64
 	idleTimeout time.Duration
+	// evaluatedAt is when the evidence against upstreams was last evaluated.
+	evaluatedAt time.Time
 	// viewSetAt is when the current view was set.
 	viewSetAt time.Time
 	// queuedPools are the pools with waiting flows; waiting is the number of these flows.
@@ -157,6 +161,8 @@
 // sweep removes expired records and reports flows and requests that had no answer.
 func (e *Engine) sweep(now time.Time) {
 	e.lastSweep = now
+	e.expireReports(now)
+	e.reportReturned(now)
 	for key, rec := range e.records {
 		idle := now.Sub(rec.lastSeen)
 		switch {
@@ -170,10 +176,25 @@
 				e.reportUnanswered(now, Unanswered, key, rec)
 			}
 			rec.endRequest()
+		case rec.awaitingResponse && rec.sentRequest && !rec.overdue:
+			e.countOverdue(now, key, rec)
 		}
 	}
 }
 
+// countOverdue counts the outstanding request of the flow as a failed answer if it is
+// overdue, unless the upstream is suspected of not answering at all.
+func (e *Engine) countOverdue(now time.Time, key flowKey, rec *flowRecord) {
+	r := e.routes[key.address]
+	if r == nil || rec.upstream.suspected() || now.Before(e.ignoreRetransmissionsUntil) {
+		return
+	}
+	if limit := r.typical.overdueAfter(); limit > 0 && now.Sub(rec.requestedAt) > limit {
+		rec.overdue = true
+		e.countAnswer(now, rec.upstream, true, overdueWeight)
+	}
+}
+
 func (e *Engine) removeRecord(key flowKey, rec *flowRecord) {
 	rec.release()
 	delete(e.records, key)
--- a/internal/flow/echo/established.go
+++ b/internal/flow/echo/established.go
@@ -73,6 +73,7 @@
 			e.recordAnswer(now, rec.upstream)
 		}
 	case seqAfter(s.Ack, rec.highestAck):
+		size := s.Ack - rec.highestAck
 		rec.highestAck = s.Ack
 		if !rec.awaitingResponse {
 			// No request is outstanding, so the packet acknowledges the upstream's FIN
@@ -82,6 +83,9 @@
 		}
 		responseTime = now.Sub(rec.requestedAt)
 		e.recordResponseTime(now, r, rec, responseTime)
+		if rec.sentRequest && !rec.overdue {
+			e.countAnswer(now, rec.upstream, r.typical.observe(responseTime, int64(size)), 1)
+		}
 		rec.endRequest()
 		e.recordAnswer(now, rec.upstream)
 	}
--- a/internal/flow/echo/event.go
+++ b/internal/flow/echo/event.go
@@ -19,6 +19,10 @@
 	Unopened
 	// Unanswered means that a request had no response within its timeout.
 	Unanswered
+	// Ejected means that an upstream's answers look failed. New flows avoid it for a time.
+	Ejected
+	// Returned means that an ejected upstream gets its share of new flows again.
+	Returned
 )
 
 var eventNames = map[EventKind]string{
@@ -26,28 +30,38 @@
 	Cleared:    "upstream_cleared",
 	Unopened:   "flow_unopened",
 	Unanswered: "request_unanswered",
+	Ejected:    "upstream_ejected",
+	Returned:   "upstream_returned",
 }
 
 // EventKinds returns all kinds of events.
-func EventKinds() []EventKind { return []EventKind{Suspected, Cleared, Unopened, Unanswered} }
+func EventKinds() []EventKind {
+	return []EventKind{Suspected, Cleared, Unopened, Unanswered, Ejected, Returned}
+}
 
 // String returns the event's name in logs.
 func (k EventKind) String() string { return eventNames[k] }
 
-// Event reports that the suspicion of an upstream began or ended, or that a flow or
-// request had no answer.
+// Event reports that the suspicion or the ejection of an upstream began or ended, or that
+// a flow or request had no answer.
 type Event struct {
 	Kind       EventKind
 	Upstream   string
 	DataCentre string
-	// Reason is set for Suspected and Cleared events.
+	// Reason is set for Suspected, Cleared and Ejected events.
 	Reason Reason
 	// UnansweredFlows is the number of the upstream's flows that have retransmitted
 	// since its last answer. It is set for Suspected events.
 	UnansweredFlows int
+	// Hosts is the number of hosts with evidence against a suspected or ejected upstream.
+	Hosts int
+	// Answers and FailedAnswers are the numbers of recent answers of an ejected upstream
+	// to all hosts, as far as they are known, and of those that looked failed.
+	Answers, FailedAnswers float64
 	// Age depends on the kind: the time since the suspected upstream last answered,
-	// the time for which the cleared upstream was suspected, or the time since the
-	// first SYN or the request.
+	// the time for which the cleared or returned upstream was suspected or ejected, the
+	// time for which the ejected one will be, or the time since the first SYN or the
+	// request.
 	Age time.Duration
 	// Caller and Address identify the flow of an Unopened or Unanswered event.
 	Caller, Address netip.AddrPort
--- a/internal/flow/echo/flow_record.go
+++ b/internal/flow/echo/flow_record.go
@@ -34,6 +34,8 @@
 	// request's response is acknowledged. A new flow thus counts as outstanding
 	// before its first request arrives.
 	awaitingResponse bool
+	// overdue is set when the outstanding request has been counted as overdue.
+	overdue bool
 	// countedEpoch is one more than the upstream's answerEpoch at the time when the flow
 	// was last counted in unansweredFlows, or zero if it never was.
 	countedEpoch uint32
@@ -74,7 +76,7 @@
 // startRequest records the arrival of a SYN or a request and counts the flow as
 // outstanding at the upstream, unless it already is.
 func (r *flowRecord) startRequest(now time.Time) {
-	r.requestedAt = now
+	r.requestedAt, r.overdue = now, false
 	if !r.awaitingResponse {
 		r.foundFreeSlot = float64(r.upstream.outstanding) < r.upstream.effectiveSlots(now)
 		r.awaitingResponse = true
--- a/internal/flow/echo/options.go
+++ b/internal/flow/echo/options.go
@@ -22,6 +22,9 @@
 	// OnEvent, if set, is called with each event. It must not block or call the
 	// engine, whose lock is held.
 	OnEvent func(Event)
+	// OnEvidence, if set, is called when there is new evidence that an upstream has failed.
+	// It must not block or call the engine, whose lock is held.
+	OnEvidence func()
 	// Seed seeds the engine's random number generator.
 	Seed uint64
 }
--- a/internal/flow/echo/reason.go
+++ b/internal/flow/echo/reason.go
@@ -48,6 +48,13 @@
 	// UnresponsiveDataCentre means that no upstream in the data centre answers, so the
 	// upstream is suspected along with the others there.
 	UnresponsiveDataCentre
+	// Reported means that flows of several hosts had no answer.
+	Reported
+	// Expired means that the reports of other hosts have ended.
+	Expired
+	// FailedAnswers means that answers are much shorter than usual and not slower, or
+	// overdue.
+	FailedAnswers
 	// Answered means that the upstream answered a flow.
 	Answered
 	// Reachable means that a probe of the upstream succeeded.
@@ -87,6 +94,9 @@
 	Unreachable:            "unreachable",
 	Retransmissions:        "repeated-packets",
 	UnresponsiveDataCentre: "silent-site",
+	Reported:               "reported",
+	Expired:                "expired",
+	FailedAnswers:          "failed-answers",
 	Answered:               "answered",
 	Reachable:              "reachable",
 	Restarted:              "restarted",
--- a/internal/flow/echo/stats.go
+++ b/internal/flow/echo/stats.go
@@ -1,6 +1,10 @@
 package echo
 
-import "github.com/oatlatch/oatlatch/internal/catalog"
+import (
+	"time"
+
+	"github.com/oatlatch/oatlatch/internal/catalog"
+)
 
 // Stats summarises the engine's state.
 type Stats struct {
@@ -12,14 +16,20 @@
 	// excludes departed upstreams; Usable counts those that are in none of the other
 	// states. Suspected also counts suspected upstreams that are draining or departed.
 	Usable, Draining, Departed, Suspected int
+	// Ejected is the number of upstreams that new flows avoid because their answers look
+	// failed. They also count in the other numbers.
+	Ejected int
 }
 
 // Stats returns the current statistics.
-func (e *Engine) Stats() Stats {
+func (e *Engine) Stats(now time.Time) Stats {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	s := Stats{Version: e.version, Flows: len(e.records), Suspected: e.suspectedCount}
 	for _, u := range e.upstreams {
+		if now.Before(u.ejection.until) {
+			s.Ejected++
+		}
 		switch {
 		case u.Presence == catalog.Departed:
 			s.Departed++
--- a/internal/flow/echo/suspicion.go
+++ b/internal/flow/echo/suspicion.go
@@ -35,11 +35,15 @@
 )
 
 // suspicion is the failure detector's state for one upstream. It is based on this
-// host's own flows only.
+// host's own flows and on the reports of other hosts.
 type suspicion struct {
 	// unansweredFlows is the number of flows that have retransmitted since the
 	// upstream's last answer.
 	unansweredFlows int
+	// strikeSent is when the first of the packets was sent that make unansweredFlows.
+	strikeSent time.Time
+	// byReports is set if the upstream is suspected because of other hosts' reports.
+	byReports bool
 	// lastAnswer is when the upstream last answered a flow of this host.
 	lastAnswer time.Time
 	// suspectedAt is when the upstream became suspected, or zero if it is not.
@@ -78,8 +82,16 @@
 		return
 	}
 	rec.countedEpoch = u.answerEpoch + 1
+	if u.unansweredFlows == 0 || sent.Before(u.strikeSent) {
+		u.strikeSent = sent
+	}
 	u.unansweredFlows++
-	if u.unansweredFlows < suspectThreshold || u.suspected() {
+	e.noteEvidence()
+	if u.unansweredFlows < suspectThreshold || u.suspected() && !u.byReports {
+		return
+	}
+	u.byReports = false
+	if u.suspected() {
 		return
 	}
 	e.suspect(now, u, Retransmissions)
@@ -121,7 +133,7 @@
 	u.suspectedAt, u.lastProbe, u.holdDownUntil = now, time.Time{}, now.Add(u.holdDown)
 	u.holdDown = min(maxHoldDown, max(initialHoldDown, 2*u.holdDown))
 	e.suspectedCount++
-	e.report(Event{Kind: Suspected, Upstream: u.Name, DataCentre: u.DataCentre, Reason: reason, UnansweredFlows: u.unansweredFlows, Age: timeSince(now, u.lastAnswer)})
+	e.report(Event{Kind: Suspected, Upstream: u.Name, DataCentre: u.DataCentre, Reason: reason, UnansweredFlows: u.unansweredFlows, Hosts: u.reported.SilentHosts, Age: timeSince(now, u.lastAnswer)})
 }
 
 // recordAnswer records that the upstream answered a flow of this host.
@@ -145,7 +157,7 @@
 		e.suspectedCount-- // an upstream that left the view no longer counts
 	}
 	e.report(Event{Kind: Cleared, Upstream: u.Name, DataCentre: u.DataCentre, Reason: reason, Age: timeSince(now, u.suspectedAt)})
-	u.suspectedAt = time.Time{}
+	u.suspectedAt, u.byReports = time.Time{}, false
 	u.unansweredFlows = 0
 	u.answerEpoch++
 }
--- a/internal/flow/echo/upstream.go
+++ b/internal/flow/echo/upstream.go
@@ -4,13 +4,20 @@
 	"time"
 
 	"github.com/oatlatch/oatlatch/internal/catalog"
+	"github.com/oatlatch/oatlatch/internal/evidence"
 )
 
 // upstream is a catalog entry with the engine's state for it.
 type upstream struct {
 	catalog.Entry
 	suspicion
-	token Token
+	ejection ejection
+	// counts are the numbers of recent answers to this host.
+	counts answerCounts
+	// reported is the evidence of all hosts at reportedAt.
+	reported   evidence.Entry
+	reportedAt time.Time
+	token      Token
 	// local is set if the upstream is in the host's own data centre.
 	local bool
 	// outstanding is the number of this host's flows that await a response, each
--- a/internal/flow/echo/view.go
+++ b/internal/flow/echo/view.go
@@ -31,9 +31,9 @@
 	}
 	routes := make(map[netip.AddrPort]*route, len(c.Routes))
 	for _, configured := range c.Routes {
-		r := &route{Route: configured, allowedServices: make(map[string]struct{})}
+		r := &route{Route: configured, allowedServices: make(map[string]struct{}), typical: &typicalAnswer{}}
 		if old := e.routes[configured.Address]; old != nil {
-			r.allowedServices = old.allowedServices
+			r.allowedServices, r.typical = old.allowedServices, old.typical
 		}
 		for _, share := range configured.Shares {
 			r.allowedServices[share.Service] = struct{}{}
@@ -82,6 +82,7 @@
 			// A new process uses the same ID. Suspicion and hold-down applied to the old one.
 			e.clearSuspicion(now, u, Restarted)
 			u.holdDown = 0
+			u.ejection, u.counts = ejection{}, answerCounts{}
 		}
 		u.Entry = entry
 		if e.dataCentres[entry.DataCentre] == nil {
--- a/internal/forward/echo_forwarder.go
+++ b/internal/forward/echo_forwarder.go
@@ -56,7 +56,7 @@
 		return nil, err
 	}
 	f := &EchoForwarder{options: options, conn: conn, admissionWake: make(chan struct{}, 1)}
-	if f.metrics, err = newEchoMetrics(options.Registerer, options.Engine); err != nil {
+	if f.metrics, err = newEchoMetrics(options.Registerer, options.Engine, options.Now); err != nil {
 		return nil, errors.Join(err, conn.Close())
 	}
 	f.held.hold, f.held.worker = newPacketHold(), newEchoWorker(f)
--- a/internal/forward/echo_metrics.go
+++ b/internal/forward/echo_metrics.go
@@ -23,7 +23,7 @@
 	responseTimes prometheus.Histogram
 }
 
-func newEchoMetrics(registerer prometheus.Registerer, engine *echo.Engine) (*echoMetrics, error) {
+func newEchoMetrics(registerer prometheus.Registerer, engine *echo.Engine, now func() time.Time) (*echoMetrics, error) {
 	packets := prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "oatlatch_echo_packets_total", Help: "Packets of callers, by verdict and reason.",
 	}, []string{"verdict", "reason"})
@@ -44,7 +44,7 @@
 	if registerer == nil {
 		return m, nil
 	}
-	for _, c := range []prometheus.Collector{packets, m.responseTimes, &echoCollector{engine: engine}} {
+	for _, c := range []prometheus.Collector{packets, m.responseTimes, &echoCollector{engine: engine, now: now}} {
 		if err := registerer.Register(c); err != nil {
 			return nil, fmt.Errorf("register packet metrics, which a registry accepts only once: %w", err)
 		}
@@ -66,6 +66,7 @@
 // echoCollector exports the engine's statistics when metrics are scraped.
 type echoCollector struct {
 	engine *echo.Engine
+	now    func() time.Time
 }
 
 var (
@@ -85,7 +86,7 @@
 
 // Collect implements prometheus.Collector.
 func (c *echoCollector) Collect(out chan<- prometheus.Metric) {
-	s := c.engine.Stats()
+	s := c.engine.Stats(c.now())
 	gauge := func(desc *prometheus.Desc, value int, labels ...string) {
 		out <- prometheus.MustNewConstMetric(desc, prometheus.GaugeValue, float64(value), labels...)
 	}
@@ -95,6 +96,7 @@
 	gauge(upstreamsDesc, s.Usable, "usable")
 	gauge(upstreamsDesc, s.Draining, "draining")
 	gauge(upstreamsDesc, s.Suspected, "suspected")
+	gauge(upstreamsDesc, s.Ejected, "ejected")
 	gauge(upstreamsDesc, s.Departed, "departed")
 }
 
