seed, edge: a host that starts while the store is away asks another host

Cause: a host that starts knows nothing until the store answers. With the store silent for 8 s and half of the hosts without power for 1 s in it, those hosts dropped what they could not hold, though their neighbours knew everything; settings named no neighbour.

Change: the edge role serves control; settings name up to three seeds. A host without a view 80 ms after its start asks them once each, 30 ms apart, and serves from the first whole answer until the store, or a host with the peer key, has told it something. That page is kept apart from the catalog: it is neither relayed nor written. A view that may be stale does not revert the seed's configuration. A seed serves 10 pages a second, no secret.

--- a/cmd/oatlatchd/restore_test.go
+++ b/cmd/oatlatchd/restore_test.go
@@ -83,12 +83,13 @@
 	return last
 }
 
-// startHost starts a host of the data centre a until the test ends.
-func startHost(t *testing.T, daemon, name string, store netip.AddrPort, log *hostLog) {
+// startHost starts a host of the data centre a until the test ends. listenLines and
+// storeLines are added to these sections of its settings.
+func startHost(t *testing.T, daemon, name string, store netip.AddrPort, log *hostLog, listenLines, storeLines string) {
 	t.Helper()
 	path := filepath.Join(t.TempDir(), name+".ini")
 	text := fmt.Sprintf("[host]\nid = %s\ndata_centre = a\nregion = r\n[listen]\npacket = 127.0.0.1:0\npeer = 127.0.0.1:0\n"+
-		"ready = 127.0.0.1:0\n[store]\naddress = %s\napply_within = 3s\n[stop]\ntime_limit = 1s\n", name, store)
+		"ready = 127.0.0.1:0\n%s[store]\naddress = %s\napply_within = 3s\n%s[stop]\ntime_limit = 1s\n", name, listenLines, store, storeLines)
 	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
 		t.Fatal(err)
 	}
@@ -167,7 +168,7 @@
 	log, hosts := newHostLog(), []string{"h-1", "h-2"}
 	daemon := buildDaemon(t)
 	for _, host := range hosts {
-		startHost(t, daemon, host, store.Address(), log)
+		startHost(t, daemon, host, store.Address(), log, "", "")
 	}
 	log.await(t, hosts, "ready", "", "")
 	log.await(t, hosts, "registered", "", "")
--- a/internal/edge/host.go
+++ b/internal/edge/host.go
@@ -17,6 +17,7 @@
 	"github.com/oatlatch/oatlatch/internal/feed"
 	"github.com/oatlatch/oatlatch/internal/flow/echo"
 	"github.com/oatlatch/oatlatch/internal/forward"
+	"github.com/oatlatch/oatlatch/internal/seed"
 	"github.com/oatlatch/oatlatch/internal/serve"
 	"github.com/oatlatch/oatlatch/internal/settings"
 	"github.com/oatlatch/oatlatch/internal/snapshot"
@@ -42,9 +43,12 @@
 	prober          *prober
 	peers           *peers
 	exchange        *evidencerpc.Exchange
+	seeding         *seeding
 	snapshots       *snapshotPublisher
 	readyListener   net.Listener
 	metricsListener net.Listener
+	// seedListener is nil if there is no address for hosts that start.
+	seedListener net.Listener
 	// serving is set when the first view of the configuration and upstreams arrives.
 	serving atomic.Bool
 	// stopping is set when the host is asked to stop.
@@ -87,6 +91,7 @@
 		Logger: options.Logger, Metrics: feedMetrics, Now: options.Now, Seed: options.Seed,
 	})
 	h.peers.catalog, h.snapshots.catalog = h.feed, h.feed
+	h.seeding = &seeding{logger: options.Logger, apply: h.serveView, requireCurrent: h.feed.RequireCurrent}
 	h.forwarder, err = forward.NewEchoForwarder(forward.EchoForwarderOptions{
 		Listen: s.Listen.Packet, CallerPort: s.Listen.Packet.Port(), Codec: options.Codec, Engine: h.engine,
 		Logger: options.Logger, Registerer: h.registry, Now: options.Now, Started: options.Started,
@@ -97,6 +102,11 @@
 	if h.readyListener, err = serve.Listen("ready", s.Listen.Ready); err != nil {
 		return nil, err
 	}
+	if s.Listen.Seed.IsValid() {
+		if h.seedListener, err = serve.Listen("seed", s.Listen.Seed); err != nil {
+			return nil, err
+		}
+	}
 	if s.Listen.Metrics.IsValid() {
 		if h.metricsListener, err = serve.Listen("metrics", s.Listen.Metrics); err != nil {
 			return nil, err
@@ -114,6 +124,7 @@
 	group, groupCtx := errgroup.WithContext(workCtx)
 	group.Go(func() error { return h.forwarder.Run(groupCtx) })
 	group.Go(func() error { return h.feed.Run(groupCtx) })
+	group.Go(func() error { return h.seeding.run(groupCtx, h.options.Settings.Store.Seeds) })
 	group.Go(func() error { return h.prober.run(groupCtx) })
 	group.Go(func() error { return new(stallDetector).run(groupCtx, h.options.Now, h.options.Logger) })
 	group.Go(func() error { return h.peers.run(groupCtx) })
@@ -133,15 +144,22 @@
 	return group.Wait()
 }
 
-// applyView passes a new view of the catalog to the engine. The first one makes
-// the host ready.
+// applyView puts a new view of the catalog in force and passes it to the parts that deal
+// with other hosts.
 func (h *Host) applyView(view catalog.View) {
-	h.engine.SetView(h.options.Now(), view)
-	h.forwarder.ReleaseHeld()
+	if h.seeding.admit(&view) {
+		h.serveView(view)
+	}
 	h.peers.setView(&view)
 	self := &h.options.Settings.Host
 	h.exchange.SetParents(feed.Parents(view.Hosts, self.ID, self.DataCentre))
 	h.snapshots.setView(&view, h.options.Settings.Host.DataCentre)
+}
+
+// serveView passes a view to the engine. The first one makes the host ready.
+func (h *Host) serveView(view catalog.View) {
+	h.engine.SetView(h.options.Now(), view)
+	h.forwarder.ReleaseHeld()
 	if h.serving.CompareAndSwap(false, true) {
 		h.options.Logger.Info().Uint64("version", view.Configuration.Version).Int("upstreams", len(view.Upstreams)).
 			Dur("took_ms", h.options.Now().Sub(h.options.Started)).Dur("processor_ms", h.options.ProcessorTime()).Msg("ready")
@@ -171,6 +189,10 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+h.options.ReadyPath, h.handleReady)
 	serve.RunHTTP(ctx, group, newServer(mux), h.readyListener)
+	if h.seedListener != nil {
+		server := newServer(seed.NewServer(h.feed, h.options.Now))
+		serve.RunHTTP(ctx, group, server, h.seedListener)
+	}
 	if h.metricsListener != nil {
 		mux := http.NewServeMux()
 		mux.Handle("GET /metrics", promhttp.HandlerFor(h.registry, promhttp.HandlerOpts{}))
--- a/internal/edge/reload.go
+++ b/internal/edge/reload.go
@@ -42,6 +42,7 @@
 		{"listen.packet", before.Listen.Packet == after.Listen.Packet},
 		{"listen.peer", before.Listen.Peer == after.Listen.Peer},
 		{"listen.ready", before.Listen.Ready == after.Listen.Ready},
+		{"listen.seed", before.Listen.Seed == after.Listen.Seed},
 		{"listen.metrics", before.Listen.Metrics == after.Listen.Metrics},
 		{"limits.flows", before.Limits.Flows == after.Limits.Flows},
 	}
--- /dev/null
+++ b/internal/edge/seeding_test.go
@@ -0,0 +1,66 @@
+package edge
+
+import (
+	"net/netip"
+	"testing"
+
+	. "github.com/onsi/gomega"
+	"github.com/rs/zerolog"
+
+	"github.com/oatlatch/oatlatch/internal/catalog"
+)
+
+// newTestSeeding returns a seeding and the versions of the views that it has put in force.
+func newTestSeeding() (*seeding, *[]uint64) {
+	var versions []uint64
+	return &seeding{
+		logger: zerolog.Nop(), requireCurrent: func() {},
+		apply: func(v catalog.View) { versions = append(versions, v.Configuration.Version) },
+	}, &versions
+}
+
+func seedPage(version uint64) *catalog.Page {
+	return &catalog.Page{Position: at(9), Unconfirmed: true, Changes: []catalog.Change{
+		{Position: at(2), Configuration: &catalog.Configuration{Version: version}},
+		{Position: at(3), Upstream: &catalog.Upstream{ID: 1, Name: "i-1", Service: "desk", Slots: 2}},
+	}}
+}
+
+func view(version uint64, partial bool) *catalog.View {
+	return &catalog.View{Configuration: &catalog.Configuration{Version: version}, Partial: partial}
+}
+
+// TestSeedGivesWayToTheStore checks the order of what a host believes when it starts.
+func TestSeedGivesWayToTheStore(t *testing.T) {
+	t.Run("the store answers first", func(t *testing.T) {
+		g := NewWithT(t)
+		s, applied := newTestSeeding()
+		g.Expect(s.admit(view(3, true))).To(BeTrue())
+		s.serve(seedPage(9), netip.AddrPort{})
+		g.Expect(*applied).To(BeEmpty())
+	})
+	t.Run("a seed answers first", func(t *testing.T) {
+		g := NewWithT(t)
+		s, applied := newTestSeeding()
+		s.serve(seedPage(7), netip.AddrPort{})
+		g.Expect(*applied).To(Equal([]uint64{7}))
+		g.Expect(s.admit(view(5, true))).To(BeFalse(), "an old snapshot must not revert the configuration")
+		g.Expect(s.admit(view(7, true))).To(BeTrue())
+		s.serve(seedPage(9), netip.AddrPort{})
+		g.Expect(*applied).To(Equal([]uint64{7}))
+	})
+	t.Run("a seed tells a version that does not exist", func(t *testing.T) {
+		g := NewWithT(t)
+		s, _ := newTestSeeding()
+		s.serve(seedPage(1<<60), netip.AddrPort{})
+		g.Expect(s.admit(view(5, false))).To(BeTrue(), "what the store has confirmed is in force")
+	})
+	t.Run("a seed tells no configuration that can be used", func(t *testing.T) {
+		g := NewWithT(t)
+		s, applied := newTestSeeding()
+		page := seedPage(7)
+		page.Changes[0].Position = at(0)
+		s.serve(page, netip.AddrPort{})
+		g.Expect(*applied).To(BeEmpty())
+	})
+}
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -92,6 +93,8 @@
 	// allowStale allows the store to answer a listing with stale pages. It is set for
 	// the first listing only.
 	allowStale bool
+	// currentRequired is set if even the first listing must not be stale.
+	currentRequired atomic.Bool
 	// confirming is set while a snapshot awaits the changes since its position. They are
 	// read from the store at once, without waiting for a change.
 	confirming bool
@@ -143,6 +146,9 @@
 	return f.timing
 }
 
+// RequireCurrent makes the listings that begin from now on ones that are not stale.
+func (f *Feed) RequireCurrent() { f.currentRequired.Store(true) }
+
 // Run reads from sources until ctx ends. It always returns nil.
 func (f *Feed) Run(ctx context.Context) error {
 	f.restore(ctx)
@@ -284,6 +290,9 @@
 	if fromPeer {
 		after = ""
 	}
+	if after == "" && f.currentRequired.Load() {
+		f.allowStale = false
+	}
 	page, err := source.List(ctx, after, f.allowStale)
 	if err != nil {
 		return 0, "", err
--- a/internal/settings/edge.go
+++ b/internal/settings/edge.go
@@ -25,12 +25,15 @@
 	Packet  netip.AddrPort `name:"packet" placeholder:"IP:PORT" help:"IP:port for packets of callers (UDP); callers take packets at the same port."`
 	Peer    netip.AddrPort `name:"peer" placeholder:"IP:PORT" help:"IP:port for calls of other entry hosts (TCP)."`
 	Ready   netip.AddrPort `name:"ready" placeholder:"IP:PORT" help:"IP:port at which routers ask whether the host is ready (TCP, HTTP)."`
+	Seed    netip.AddrPort `name:"seed" placeholder:"IP:PORT" help:"IP:port at which hosts that start ask for routes and upstreams (TCP, HTTP); only they may reach it."`
 	Metrics netip.AddrPort `name:"metrics" placeholder:"IP:PORT" help:"IP:port for metrics (TCP, HTTP)."`
 }
 
 // Store configures access to the platform's metadata store.
 type Store struct {
 	Address netip.AddrPort `name:"address" placeholder:"IP:PORT" help:"IP:port of the platform's metadata store."`
+	// Seeds are hosts that a host asks when it starts and the store does not answer.
+	Seeds []netip.AddrPort `name:"seeds" placeholder:"IP:PORT" help:"listen.seed of up to three other hosts, comma-separated, for starts while the store does not answer."`
 	// ApplyWithin lists the times within which changes in the store must take effect.
 	// The host meets the shortest one.
 	ApplyWithin []time.Duration `name:"apply-within" default:"3s" help:"Times within which changes must be in force, comma-separated; the shortest counts."`
--- a/internal/settings/edge_check.go
+++ b/internal/settings/edge_check.go
@@ -10,6 +10,9 @@
 // maxMemoryMB is the maximum of the memory setting in MB. It equals 1 TB.
 const maxMemoryMB = 1 << 20
 
+// maxSeeds is the maximum number of seeds.
+const maxSeeds = 3
+
 // maxBandwidth is the maximum of the bandwidth setting in Mbit/s.
 const maxBandwidth = 1_000_000
 
@@ -23,6 +26,15 @@
 	c.usableAddress("listen", "peer", s.Listen.Peer)
 	c.usableAddress("listen", "ready", s.Listen.Ready)
 	c.usableAddress("store", "address", s.Store.Address)
+	if s.Listen.Seed.IsValid() {
+		c.usableAddress("listen", "seed", s.Listen.Seed)
+	}
+	for _, address := range s.Store.Seeds {
+		c.usableAddress("store", "seeds", address)
+	}
+	if len(s.Store.Seeds) > maxSeeds {
+		c.report("store", "seeds", fmt.Sprintf("%d addresses are too many", len(s.Store.Seeds)), fmt.Sprintf("write at most %d", maxSeeds))
+	}
 	c.intInRange("flows", int64(s.Limits.Flows), minFlows, maxFlows)
 	c.intInRange("memory", int64(s.Limits.Memory), 0, maxMemoryMB)
 	if len(s.Store.ApplyWithin) == 0 {
