echo, experiment: each deciding mechanism can be switched off for trials

Cause: nobody could tell what a mechanism is worth without editing the engine.

Ruled out: settings of users (they would be used), a copy of the engine for the model (it would differ).

--- a/cmd/oatlatch/experiment.go
+++ b/cmd/oatlatch/experiment.go
@@ -34,6 +34,8 @@
 	StartSpread time.Duration `default:"0s" help:"Time within which the hosts start after that."`
 	StartDelay  time.Duration `default:"100ms" help:"Time after that until a host knows the upstreams."`
 	Seconds     int           `default:"30" help:"How long callers send requests."`
+	Without     string        `placeholder:"NAMES" help:"Mechanisms to switch off, comma-separated."`
+	Ablate      int           `placeholder:"SEEDS" help:"Compare runs without each mechanism to those with all, over this many seeds."`
 	JSON        bool          `help:"Print one JSON object for each run."`
 	Plot        string        `type:"path" placeholder:"FILE.svg" help:"Write a chart of the worth over time as well."`
 }
@@ -60,9 +62,16 @@
 	options.Objective, options.Timeout, options.Outage, options.StartSpread, options.StartDelay = c.Objective, c.Timeout, c.Outage, c.StartSpread, c.StartDelay
 	options.ThinkTime, options.ServiceTime, options.Slots, options.QueueSize = c.Think, c.Service, c.Slots, c.Queue
 	options.Load, options.Duration = c.Load, time.Duration(c.Seconds)*time.Second
+	var err error
+	if options.Without, err = echo.ParseMechanisms(c.Without); err != nil {
+		return err
+	}
 	if err := options.Validate(); err != nil {
 		return err
 	}
+	if c.Ablate > 0 {
+		return c.printAblations(patterns, options)
+	}
 	results, err := c.runPatterns(patterns, options)
 	if err != nil || c.Plot == "" {
 		return err
@@ -70,6 +79,26 @@
 	return writeChart(c.Plot, results)
 }
 
+// printAblations prints, for each pattern, what it is worth without each mechanism.
+func (c *experimentCommand) printAblations(patterns []experiment.Pattern, options experiment.Options) error {
+	table := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
+	if !c.JSON {
+		fmt.Fprintln(table, "pattern\twithout\tworth\twith all\tspread\tfailed\twith all")
+	}
+	for _, p := range patterns {
+		for _, a := range experiment.Ablate(p, options, c.Ablate) {
+			if c.JSON {
+				if err := json.NewEncoder(os.Stdout).Encode(a); err != nil {
+					return fmt.Errorf("print a result: %w", err)
+				}
+				continue
+			}
+			fmt.Fprintf(table, "%s\t%s\t%.4f\t%.4f\t%.4f\t%.4f\t%.4f\n", a.Pattern, a.Mechanism, a.WorthWithout, a.Worth, a.Spread, a.FailedWithout, a.Failed)
+		}
+	}
+	return table.Flush()
+}
+
 // writeChart writes a chart of the results to a file, which it overwrites if it
 // exists.
 func writeChart(path string, results []experiment.Result) (err error) {
--- a/cmd/oatlatchd/edge.go
+++ b/cmd/oatlatchd/edge.go
@@ -7,11 +7,16 @@
 	"time"
 
 	"github.com/oatlatch/oatlatch/internal/edge"
+	"github.com/oatlatch/oatlatch/internal/flow/echo"
 	"github.com/oatlatch/oatlatch/internal/logging"
 	"github.com/oatlatch/oatlatch/internal/settings"
 	"github.com/oatlatch/oatlatch/platform"
 )
 
+// withoutMechanisms lists mechanisms of the engine that are switched off. It is set by the
+// linker, and only for trials: -ldflags=-X=main.withoutMechanisms=ejection.
+var withoutMechanisms string
+
 // edgeCommand runs an edge host. It forwards packets of callers that echo a token, to
 // upstreams that are registered on the users' platform.
 type edgeCommand struct {
@@ -31,6 +36,10 @@
 		return err
 	}
 	logger = logger.With().Str("host", c.Host.ID).Logger()
+	without, err := echo.ParseMechanisms(withoutMechanisms)
+	if err != nil {
+		return err
+	}
 	store := platform.NewStore(c.Store.Address)
 	apply := func(s settings.Edge) {
 		store.SetAddress(s.Store.Address)
@@ -38,7 +47,7 @@
 	}
 	host, err := edge.New(edge.Options{
 		Settings: c.Edge, Apply: apply, Store: store, Snapshots: store, Registration: store, Codec: platform.Codec{}, Check: platform.NewChecker().Check,
-		ReadyPath: platform.ReadyPath, Logger: logger, Now: time.Now, Seed: randomUint64(),
+		ReadyPath: platform.ReadyPath, Logger: logger, Now: time.Now, Seed: randomUint64(), Without: without,
 		Started: startedAt, ProcessorTime: processorTime,
 	})
 	if err != nil {
--- a/internal/edge/host.go
+++ b/internal/edge/host.go
@@ -64,7 +64,7 @@
 	h := &Host{options: options, registry: prometheus.NewRegistry()}
 	h.settings.Store(s)
 	h.engine = echo.New(echo.Options{
-		DataCentre: s.Host.DataCentre, MaxFlows: s.Limits.Flows, Seed: options.Seed, OnEvent: h.handleEvent,
+		DataCentre: s.Host.DataCentre, MaxFlows: s.Limits.Flows, Seed: options.Seed, Without: options.Without, OnEvent: h.handleEvent,
 		OnEvidence: func() { h.exchange.Notify() },
 	})
 	h.prober = newProber(h.engine, options.Check, options.Now, options.Logger)
--- a/internal/edge/options.go
+++ b/internal/edge/options.go
@@ -51,6 +51,8 @@
 	Started time.Time
 	// ProcessorTime returns the CPU time that the process has used.
 	ProcessorTime func() time.Duration
+	// Without holds the mechanisms of the engine that are switched off.
+	Without echo.MechanismSet
 	// Seed seeds random choices.
 	Seed uint64
 }
--- a/internal/experiment/evidence_test.go
+++ b/internal/experiment/evidence_test.go
@@ -29,6 +29,9 @@
 	return Run(p, echo.LeastUsed, options)
 }
 
+// judgeAlone makes hosts judge upstreams by their own evidence alone.
+func judgeAlone(o *Options) { o.Without = 1 << echo.SharedEvidence }
+
 func failedFraction(r Result) float64 { return float64(r.Failed) / float64(r.Requests) }
 
 // TestHostsLearnFromEachOther checks what failed upstreams of a large pool cost, against the
@@ -48,7 +51,7 @@
 		t.Run(test.pattern, func(t *testing.T) {
 			t.Parallel()
 			together := runFleet(t, test.pattern, nil)
-			alone := runFleet(t, test.pattern, func(o *Options) { o.IsolatedHosts = true })
+			alone := runFleet(t, test.pattern, judgeAlone)
 			t.Logf("failed %.4f together, %.4f alone; worth %.4f and %.4f", failedFraction(together), failedFraction(alone), together.Worth, alone.Worth)
 			if failedFraction(together) > test.maxFailed {
 				t.Errorf("%.4f of the requests failed, want at most %.4f", failedFraction(together), test.maxFailed)
@@ -78,7 +81,7 @@
 func TestAccuserConvincesNobody(t *testing.T) {
 	const margin = 0.002
 	together := runFleet(t, "lossy-host", nil)
-	alone := runFleet(t, "lossy-host", func(o *Options) { o.IsolatedHosts = true })
+	alone := runFleet(t, "lossy-host", judgeAlone)
 	if together.Worth < alone.Worth-margin {
 		t.Errorf("worth %.4f with the evidence of a lossy host, %.4f without", together.Worth, alone.Worth)
 	}
@@ -109,3 +112,21 @@
 		})
 	}
 }
+
+// TestAblationSwitchesOneMechanismOff checks the comparison on a pattern in which one
+// mechanism is known to matter.
+func TestAblationSwitchesOneMechanismOff(t *testing.T) {
+	p, err := Find("silent-upstreams")
+	if err != nil {
+		t.Fatal(err)
+	}
+	all := Ablate(p, DefaultOptions(), 1)
+	if len(all) != len(echo.Mechanisms()) {
+		t.Fatalf("%d rows for %d mechanisms", len(all), len(echo.Mechanisms()))
+	}
+	for _, a := range all {
+		if a.Mechanism == echo.Suspicion.String() && a.WorthWithout >= a.Worth {
+			t.Errorf("worth %.4f without suspicion, %.4f with it", a.WorthWithout, a.Worth)
+		}
+	}
+}
--- a/internal/experiment/options.go
+++ b/internal/experiment/options.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"time"
+
+	"github.com/oatlatch/oatlatch/internal/flow/echo"
 )
 
 // Options configure a simulation.
@@ -33,8 +35,8 @@
 	// the number of requests that it queues before it rejects further ones.
 	ServiceTime time.Duration
 	QueueSize   int
-	// IsolatedHosts makes hosts judge upstreams by their own evidence alone.
-	IsolatedHosts bool
+	// Without holds the mechanisms that are switched off.
+	Without echo.MechanismSet
 	// Outage is how long the pattern power-loss stops all hosts. They start within
 	// StartSpread after it, each of which has its first view after StartDelay.
 	Outage, StartSpread, StartDelay time.Duration
--- a/internal/experiment/pattern.go
+++ b/internal/experiment/pattern.go
@@ -77,9 +77,7 @@
 	if policy == echo.SharedEstimates {
 		sim.shareEstimates()
 	}
-	if !options.IsolatedHosts {
-		sim.shareEvidence()
-	}
+	sim.shareEvidence()
 	p.schedule(sim)
 	sim.runEvents()
 	result := sim.recorder.summarize(p.Name, policy.String())
--- a/internal/experiment/simulation.go
+++ b/internal/experiment/simulation.go
@@ -136,7 +136,7 @@
 func (sim *simulation) startEngine(h *hostNode) {
 	h.waiting, h.admitting = make(map[waitingSYN]func(*echo.Decision)), false
 	h.engine = echo.New(echo.Options{
-		DataCentre: dataCentreName(h.dc), Seed: sim.random.Uint64(), Policy: sim.policy,
+		DataCentre: dataCentreName(h.dc), Seed: sim.random.Uint64(), Policy: sim.policy, Without: sim.options.Without,
 		ActualLoad:         func(id catalog.UpstreamID) float64 { return sim.actualLoad(h, id) },
 		OutstandingAtPeers: func(id catalog.UpstreamID) int { return h.pendingAtPeers[id] },
 		OnEvent: func(event echo.Event) {
--- a/internal/flow/echo/admit.go
+++ b/internal/flow/echo/admit.go
@@ -35,12 +35,14 @@
 	switch {
 	case !r.sheddable || !p.overloaded(now, r, u):
 		return admit
-	case p.overload.observe(now):
+	case p.overload.observe(now) && !e.options.Without.Has(OverloadRefusal):
 		return refuse
 	case float64(u.outstanding) < ownRequestsPerSlot*u.effectiveSlots(now):
 		return admit
-	case p.wouldTakeLonger(now, u, r.requestTimeout()-timeSinceFirstSYN(s.Ack)):
+	case !e.options.Without.Has(DeadlineRefusal) && p.wouldTakeLonger(now, u, r.requestTimeout()-timeSinceFirstSYN(s.Ack)):
 		return refuse
+	case e.options.Without.Has(AdmissionQueue):
+		return admit
 	default:
 		return enqueue
 	}
--- a/internal/flow/echo/ejection.go
+++ b/internal/flow/echo/ejection.go
@@ -114,6 +114,9 @@
 // SetEvidence replaces the evidence of all hosts, and decides which upstreams to suspect
 // and which to eject.
 func (e *Engine) SetEvidence(now time.Time, entries []evidence.Entry) {
+	if e.options.Without.Has(SharedEvidence) {
+		return
+	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	for i := range entries {
@@ -188,6 +191,9 @@
 		return
 	}
 	e.evaluatedAt = now
+	if e.options.Without.Has(Ejection) {
+		return
+	}
 	for _, p := range e.pools {
 		e.evaluatePool(now, p)
 	}
--- a/internal/flow/echo/engine.go
+++ b/internal/flow/echo/engine.go
@@ -186,7 +186,7 @@
 // overdue, unless the upstream is suspected of not answering at all.
 func (e *Engine) countOverdue(now time.Time, key flowKey, rec *flowRecord) {
 	r := e.routes[key.address]
-	if r == nil || rec.upstream.suspected() || now.Before(e.ignoreRetransmissionsUntil) {
+	if r == nil || e.options.Without.Has(OverdueRequests) || rec.upstream.suspected() || now.Before(e.ignoreRetransmissionsUntil) {
 		return
 	}
 	if limit := r.typical.overdueAfter(); limit > 0 && now.Sub(rec.requestedAt) > limit {
--- a/internal/flow/echo/established.go
+++ b/internal/flow/echo/established.go
@@ -35,7 +35,7 @@
 	if retransmitted {
 		e.recordRetransmission(now, rec, rec.requestedAt)
 	}
-	if reason := resetReason(r, rec.upstream, s, retransmitted); reason != 0 && !s.RST {
+	if reason := e.resetReason(r, rec.upstream, s, retransmitted); reason != 0 && !s.RST {
 		d := e.withDetail(now, Decision{Verdict: Reset, Reason: reason}, r, rec.upstream, rec)
 		rec.endRequest()
 		rec.setState(stateClosed)
@@ -129,14 +129,14 @@
 // caller sends the request to another one. This applies only if flows of that very
 // upstream went unanswered: when its whole data centre is suspected, it may still
 // work.
-func resetReason(r *route, u *upstream, s *Segment, retransmitted bool) Reason {
+func (e *Engine) resetReason(r *route, u *upstream, s *Segment, retransmitted bool) Reason {
 	departed := u.Presence == catalog.Departed
 	switch {
 	case departed && u.Draining:
 		return UpstreamLeft
 	case departed && (retransmitted || u.suspected()):
 		return UpstreamLost
-	case u.suspected() && u.unansweredFlows > 0 && r.Repeatable && s.Length > 0:
+	case u.suspected() && u.unansweredFlows > 0 && r.Repeatable && s.Length > 0 && !e.options.Without.Has(UnreachableReset):
 		return Unreachable
 	default:
 		return 0
--- a/internal/flow/echo/options.go
+++ b/internal/flow/echo/options.go
@@ -19,6 +19,8 @@
 	// OutstandingAtPeers returns the number of outstanding requests of the data centre's
 	// other hosts at an upstream. Only SharedEstimates uses it, and requires it.
 	OutstandingAtPeers func(catalog.UpstreamID) int
+	// Without holds the mechanisms that are switched off.
+	Without MechanismSet
 	// OnEvent, if set, is called with each event. It must not block or call the
 	// engine, whose lock is held.
 	OnEvent func(Event)
--- a/internal/flow/echo/policy.go
+++ b/internal/flow/echo/policy.go
@@ -69,14 +69,14 @@
 	}
 	// Unanswered flows suggest that the upstream may have failed.
 	cost += float64(u.unansweredFlows)
-	if u.counts.failed > 0 {
+	if u.counts.failed > 0 && !e.options.Without.Has(FailedCost) {
 		// An upstream that fails at once would otherwise always seem to be idle.
 		u.counts.decay(now)
 		if u.counts.failed >= minCountedFailed {
 			cost += float64(u.counts.failed)
 		}
 	}
-	if !u.local {
+	if !u.local && !e.options.Without.Has(RemotePenalty) {
 		cost += remotePenalty
 	}
 	return cost
--- a/internal/flow/echo/suspicion.go
+++ b/internal/flow/echo/suspicion.go
@@ -75,7 +75,7 @@
 // likely cause.
 func (e *Engine) recordRetransmission(now time.Time, rec *flowRecord, sent time.Time) {
 	u := rec.upstream
-	if now.Sub(sent) < minRetransmitDelay || now.Before(e.ignoreRetransmissionsUntil) || u.lastAnswer.After(sent) || !e.lastAnswer.After(sent) {
+	if e.options.Without.Has(Suspicion) || now.Sub(sent) < minRetransmitDelay || now.Before(e.ignoreRetransmissionsUntil) || u.lastAnswer.After(sent) || !e.lastAnswer.After(sent) {
 		return
 	}
 	if rec.countedEpoch == u.answerEpoch+1 {
@@ -103,7 +103,7 @@
 // first of them was suspected. The host's own data centre is never suspected as a
 // whole.
 func (e *Engine) checkDataCentre(now time.Time, u *upstream) {
-	if u.local {
+	if u.local || e.options.Without.Has(DataCentreSuspicion) {
 		return
 	}
 	suspected := 0
@@ -131,7 +131,9 @@
 // a probe clears it or a new process uses its ID.
 func (e *Engine) suspect(now time.Time, u *upstream, reason Reason) {
 	u.suspectedAt, u.lastProbe, u.holdDownUntil = now, time.Time{}, now.Add(u.holdDown)
-	u.holdDown = min(maxHoldDown, max(initialHoldDown, 2*u.holdDown))
+	if !e.options.Without.Has(HoldDown) {
+		u.holdDown = min(maxHoldDown, max(initialHoldDown, 2*u.holdDown))
+	}
 	e.suspectedCount++
 	e.report(Event{Kind: Suspected, Upstream: u.Name, DataCentre: u.DataCentre, Reason: reason, UnansweredFlows: u.unansweredFlows, Hosts: u.reported.SilentHosts, Age: timeSince(now, u.lastAnswer)})
 }
@@ -165,7 +167,7 @@
 // detectPause is called for each packet. If none has arrived for longer than
 // pauseGap, retransmissions are ignored for pauseGrace.
 func (e *Engine) detectPause(now time.Time) {
-	if !e.lastPacket.IsZero() && now.Sub(e.lastPacket) > pauseGap {
+	if !e.lastPacket.IsZero() && now.Sub(e.lastPacket) > pauseGap && !e.options.Without.Has(PauseGrace) {
 		e.ignoreRetransmissionsUntil = now.Add(pauseGrace)
 	}
 	e.lastPacket = now
--- a/internal/flow/echo/view.go
+++ b/internal/flow/echo/view.go
@@ -85,6 +85,9 @@
 			u.ejection, u.counts = ejection{}, answerCounts{}
 		}
 		u.Entry = entry
+		if e.options.Without.Has(WarmupWeight) {
+			u.WarmUntil = time.Time{}
+		}
 		if e.dataCentres[entry.DataCentre] == nil {
 			e.dataCentres[entry.DataCentre] = &dataCentreHealth{}
 		}
