feed, evidencerpc, docs: a listing is not interrupted; the first host tells its own strikes

Cause: read in the diff. A follower that knows more was read also between two pages of a listing, whose next page then met no listing (TestFollowerIsNotReadDuringAListing fails without the check). The first host of the tree told its own evidence only with the next reply (TestFirstHostTellsItsOwnEvidence). "Epoch" now means that of the store alone; the counters of strikes and the model's start have other names.

--- a/internal/evidencerpc/exchange.go
+++ b/internal/evidencerpc/exchange.go
@@ -63,8 +63,8 @@
 	// host. parent is the one in use.
 	parents []catalog.Host
 	parent  *catalog.Host
-	// parentVersion is the version of the parent's last reply, received the number of
-	// replies that brought a new one.
+	// parentVersion is the version of the parent's last reply. received is the number of
+	// replies that brought a new one and, at the first host, of its own news.
 	parentVersion, received uint64
 	// changed is closed and replaced when the total changes.
 	changed chan struct{}
@@ -145,6 +145,7 @@
 	case <-timer.C:
 		return nil
 	case <-x.wake:
+		x.announce()
 		return wait.Sleep(ctx, callGap)
 	}
 }
@@ -232,6 +233,14 @@
 	}
 }
 
+// announce tells children of new evidence of this host.
+func (x *Exchange) announce() {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.received++
+	x.announceLocked()
+}
+
 // announceLocked ends the waits of children. x.mu must be held.
 func (x *Exchange) announceLocked() {
 	close(x.changed)
--- a/internal/evidencerpc/exchange_test.go
+++ b/internal/evidencerpc/exchange_test.go
@@ -138,6 +138,16 @@
 	}
 }
 
+// TestFirstHostTellsItsOwnEvidence covers strikes of the first host, which reports to none.
+func TestFirstHostTellsItsOwnEvidence(t *testing.T) {
+	g := NewWithT(t)
+	n := newNetwork(t, 6)
+	n.strike(0)
+	for _, h := range n.hosts[1:] {
+		g.Eventually(h.engine.known, "3s", "5ms").Should(Equal(1), "host %d, before the wait of an idle call ends", h.index)
+	}
+}
+
 // TestReportsArriveWhileEvidenceKeepsComing covers evidence that comes faster than calls
 // take: no report may be given up before it has arrived.
 func TestReportsArriveWhileEvidenceKeepsComing(t *testing.T) {
--- a/internal/experiment/caller.go
+++ b/internal/experiment/caller.go
@@ -72,7 +72,7 @@
 // sendNext sends the caller's next request, unless the load phase has ended.
 func (c *caller) sendNext() {
 	sim := c.sim
-	if sim.now.After(epoch.Add(sim.options.Duration)) {
+	if sim.now.After(runStart.Add(sim.options.Duration)) {
 		return
 	}
 	if c.pending {
@@ -297,6 +297,6 @@
 func (c *caller) finish(o outcome) {
 	sim := c.sim
 	c.pending = false
-	sim.recorder.record(c.sentAt.Sub(epoch), c.dc, o, sim.now.Sub(c.sentAt))
+	sim.recorder.record(c.sentAt.Sub(runStart), c.dc, o, sim.now.Sub(c.sentAt))
 	sim.after(time.Duration(float64(sim.exponential(sim.options.ThinkTime))/sim.loadFactor), c.sendNext)
 }
--- a/internal/experiment/simulation.go
+++ b/internal/experiment/simulation.go
@@ -15,8 +15,8 @@
 	"github.com/oatlatch/oatlatch/internal/standin/virtual"
 )
 
-// epoch is the virtual time at which each run starts.
-var epoch = time.Unix(1_000_000, 0)
+// runStart is the virtual time at which each run starts.
+var runStart = time.Unix(1_000_000, 0)
 
 const (
 	serviceName = "desk"
@@ -84,7 +84,7 @@
 // callers.
 func newSimulation(options Options, policy echo.Policy) *simulation {
 	sim := &simulation{
-		options: options, policy: policy, random: rand.New(rand.NewPCG(options.Seed, 1)), now: epoch,
+		options: options, policy: policy, random: rand.New(rand.NewPCG(options.Seed, 1)), now: runStart,
 		byID: make(map[catalog.UpstreamID]*upstreamNode), isolated: make(map[int]bool), loadFactor: 1, recorder: newRecorder(options.Objective),
 	}
 	for dc := range options.DataCentres {
@@ -109,12 +109,12 @@
 }
 
 // at schedules a function at a time measured from the start of the run.
-func (sim *simulation) at(t time.Duration, run func()) { sim.events.Schedule(epoch.Add(t), run) }
+func (sim *simulation) at(t time.Duration, run func()) { sim.events.Schedule(runStart.Add(t), run) }
 
 // runEvents runs the scheduled functions in order of time. It stops when none is
 // left, or ten seconds of virtual time after callers have stopped sending requests.
 func (sim *simulation) runEvents() {
-	until := epoch.Add(sim.options.Duration + 10*time.Second)
+	until := runStart.Add(sim.options.Duration + 10*time.Second)
 	for {
 		at, run, ok := sim.events.Next(until)
 		if !ok {
@@ -244,7 +244,7 @@
 			}
 		}
 	}
-	if sim.now.Before(epoch.Add(sim.options.Duration)) {
+	if sim.now.Before(runStart.Add(sim.options.Duration)) {
 		sim.after(probeInterval, sim.runProbes)
 	}
 }
@@ -269,7 +269,7 @@
 			}
 		}
 	}
-	if sim.now.Before(epoch.Add(sim.options.Duration)) {
+	if sim.now.Before(runStart.Add(sim.options.Duration)) {
 		sim.after(sim.options.ShareInterval, sim.shareEstimates)
 	}
 }
@@ -290,7 +290,7 @@
 	for _, part := range slices.Sorted(maps.Keys(parts)) {
 		sim.shareEvidenceAmong(parts[part])
 	}
-	if sim.now.Before(epoch.Add(sim.options.Duration)) {
+	if sim.now.Before(runStart.Add(sim.options.Duration)) {
 		sim.after(evidenceInterval, sim.shareEvidence)
 	}
 }
--- a/internal/feed/consult.go
+++ b/internal/feed/consult.go
@@ -37,14 +37,15 @@
 	}
 }
 
-// consultFollower reads the follower that knows more than this host, if there is one.
+// consultFollower reads the follower that knows more than this host, if there is one. It
+// does not interrupt a listing.
 func (f *Feed) consultFollower(ctx context.Context) {
 	f.mu.Lock()
 	name := f.follower
 	f.follower = ""
 	f.mu.Unlock()
 	h := f.selector.peer(name)
-	if h == nil || f.options.Now().Sub(f.consultedAt) < consultInterval {
+	if h == nil || !f.listed || f.options.Now().Sub(f.consultedAt) < consultInterval {
 		return
 	}
 	f.consultedAt = f.options.Now()
--- a/internal/feed/epoch_test.go
+++ b/internal/feed/epoch_test.go
@@ -99,3 +99,22 @@
 	f.poll()
 	g.Expect(f.peer.watches).To(HaveLen(1))
 }
+
+// TestFollowerIsNotReadDuringAListing covers a follower that knows more while this host is
+// between two pages.
+func TestFollowerIsNotReadDuringAListing(t *testing.T) {
+	g := NewWithT(t)
+	f := newTestFeed(t)
+	f.poll()
+	first := f.store.pages[""]
+	first.Next = "page-2"
+	f.store.pages[""], f.store.pages["page-2"] = first, catalog.Page{Position: at(8)}
+	f.store.err = ErrCompacted
+	f.poll()
+	f.store.err = nil
+	f.poll()
+	f.feed.NoteFollower("a-1", catalog.Have{Position: at(9), Version: 4})
+	f.poll()
+	g.Expect(f.peer.watches).To(BeEmpty())
+	g.Expect(f.feed.listed).To(BeTrue())
+}
--- a/internal/flow/echo/ejection.go
+++ b/internal/flow/echo/ejection.go
@@ -144,7 +144,7 @@
 	case !u.suspected() && u.unansweredFlows > 0 && lastAnswer.After(u.strikeSent):
 		// Another host has had an answer since, so only this host's packet was lost.
 		u.unansweredFlows = 0
-		u.answerEpoch++
+		u.strikeSeries++
 	}
 }
 
--- a/internal/flow/echo/flow_record.go
+++ b/internal/flow/echo/flow_record.go
@@ -36,9 +36,9 @@
 	awaitingResponse bool
 	// overdue is set when the outstanding request has been counted as overdue.
 	overdue bool
-	// countedEpoch is one more than the upstream's answerEpoch at the time when the flow
+	// countedSeries is one more than the upstream's strikeSeries at the time when the flow
 	// was last counted in unansweredFlows, or zero if it never was.
-	countedEpoch uint32
+	countedSeries uint32
 	// synSeq is the sequence number of the SYN.
 	synSeq uint32
 	// nextSeq is the sequence number after the last byte that the caller has sent.
--- a/internal/flow/echo/suspicion.go
+++ b/internal/flow/echo/suspicion.go
@@ -54,9 +54,9 @@
 	// suspected. holdDownUntil is the end of that time for the current suspicion.
 	holdDown      time.Duration
 	holdDownUntil time.Time
-	// answerEpoch increases whenever unansweredFlows is set back to zero, so that each
+	// strikeSeries increases whenever unansweredFlows is set back to zero, so that each
 	// flow is counted in it at most once between two resets.
-	answerEpoch uint32
+	strikeSeries uint32
 }
 
 // suspected reports whether the upstream is suspected to have failed.
@@ -78,10 +78,10 @@
 	if e.options.Without.Has(Suspicion) || now.Sub(sent) < minRetransmitDelay || now.Before(e.ignoreRetransmissionsUntil) || u.lastAnswer.After(sent) || !e.lastAnswer.After(sent) {
 		return
 	}
-	if rec.countedEpoch == u.answerEpoch+1 {
+	if rec.countedSeries == u.strikeSeries+1 {
 		return
 	}
-	rec.countedEpoch = u.answerEpoch + 1
+	rec.countedSeries = u.strikeSeries + 1
 	if u.unansweredFlows == 0 || sent.Before(u.strikeSent) {
 		u.strikeSent = sent
 	}
@@ -143,7 +143,7 @@
 	u.lastAnswer, e.lastAnswer = now, now
 	u.unansweredFlows = 0
 	u.holdDown = 0
-	u.answerEpoch++
+	u.strikeSeries++
 	if health := e.dataCentres[u.DataCentre]; health != nil {
 		health.lastAnswer = now
 	}
@@ -161,7 +161,7 @@
 	e.report(Event{Kind: Cleared, Upstream: u.Name, DataCentre: u.DataCentre, Reason: reason, Age: timeSince(now, u.suspectedAt)})
 	u.suspectedAt, u.byReports = time.Time{}, false
 	u.unansweredFlows = 0
-	u.answerEpoch++
+	u.strikeSeries++
 }
 
 // detectPause is called for each packet. If none has arrived for longer than
