--- a/internal/logquery/timeline_test.go
+++ b/internal/logquery/timeline_test.go
@@ -59,3 +59,25 @@
 	g.Expect(got[0].Last).To(BeZero())
 	g.Expect(timelinesOf(t, "")).To(BeEmpty())
 }
+
+// TestTimelineAcrossARestore covers versions that are adopted before and after the store came
+// back from an older copy, the later one at a lower revision.
+func TestTimelineAcrossARestore(t *testing.T) {
+	g := NewWithT(t)
+	const text = `
+time=2026-01-02T03:04:05Z level=info event=configuration_adopted before=6 epoch=0 host=h-1 revision=90 version=7
+time=2026-01-02T03:04:06Z level=info event=store_restored epoch=1 epoch_before=0 host=h-1 revision=40 revision_before=95
+time=2026-01-02T03:04:06Z level=info event=configuration_refused before=7 epoch=1 host=h-1 revision=30 version=5
+time=2026-01-02T03:04:07Z level=info event=configuration_adopted before=7 epoch=1 host=h-1 revision=50 version=9
+time=2026-01-02T03:04:07.2Z level=info event=configuration_adopted before=7 epoch=1 host=h-2 revision=50 version=9
+`
+	got := timelinesOf(t, text)
+	g.Expect(got).To(HaveLen(2), "the refused version was never in force")
+	g.Expect(got[0].Version).To(Equal("7"))
+	g.Expect(got[1].Version).To(Equal("9"))
+	g.Expect(got[1].Hosts).To(Equal(2))
+	g.Expect(got[1].Last).To(Equal(200 * time.Millisecond))
+	lines, _, err := Read(strings.NewReader(text + "time=2026-01-02T03:04:06.5Z level=info event=flow_reset flow=100.64.0.9:1>198.18.0.1:80 host=h-1 reason=no-upstream\n"))
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(hostsAndEvents(Select(lines, Filter{Flow: "100.64.0.9:1"}))).To(ContainElement("h-1 store_restored"))
+}
