latest: one type for the latest value between goroutines

Cause: registration.StoreRestored replaced the value in a channel of one by hand, with the same lines as edge's own latest type; both came with the epochs. registration cannot import edge.

Behaviour is the same.

--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -14,6 +14,7 @@
 	"github.com/oatlatch/oatlatch/internal/evidencerpc"
 	"github.com/oatlatch/oatlatch/internal/feed"
 	"github.com/oatlatch/oatlatch/internal/host"
+	"github.com/oatlatch/oatlatch/internal/latest"
 	"github.com/oatlatch/oatlatch/internal/peer"
 	"github.com/oatlatch/oatlatch/internal/registration"
 )
@@ -30,8 +31,8 @@
 	catalog  catalogrpc.CatalogProvider
 	exchange *evidencerpc.Exchange
 	// keys passes the peer keys to use, and lostKeys those to write to the store again.
-	keys     latest[peerKeys]
-	lostKeys latest[lostPeerKey]
+	keys     latest.Value[peerKeys]
+	lostKeys latest.Value[lostPeerKey]
 	// epoch is the epoch of the last view, which setView alone uses.
 	epoch uint64
 	// client is nil until the peer key is known.
@@ -45,7 +46,7 @@
 
 func newPeers(options Options, registry prometheus.Registerer) *peers {
 	return &peers{
-		options: options, registry: registry, keys: newLatest[peerKeys](), lostKeys: newLatest[lostPeerKey](),
+		options: options, registry: registry, keys: latest.New[peerKeys](), lostKeys: latest.New[lostPeerKey](),
 		unregisterRequested: make(chan struct{}),
 	}
 }
@@ -54,13 +55,13 @@
 // in it. Only one goroutine may call it.
 func (p *peers) setView(view *catalog.View) {
 	if view.PeerKey != nil {
-		p.keys.set(peerKeys{current: view.PeerKey, former: view.FormerPeerKey})
+		p.keys.Set(peerKeys{current: view.PeerKey, former: view.FormerPeerKey})
 	}
 	var lost lostPeerKey
 	if view.LostPeerKey != nil {
 		lost = lostPeerKey{key: view.PeerKey, stored: view.LostPeerKey.Stored}
 	}
-	p.lostKeys.set(lost)
+	p.lostKeys.Set(lost)
 	registrar := p.registrar.Load()
 	if view.Position.Epoch == p.epoch || registrar == nil {
 		return
--- a/internal/registration/registrar.go
+++ b/internal/registration/registrar.go
@@ -10,6 +10,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/oatlatch/oatlatch/internal/catalog"
+	"github.com/oatlatch/oatlatch/internal/latest"
 )
 
 const (
@@ -49,7 +50,7 @@
 	// published is the value of lease for other goroutines.
 	published atomic.Pointer[Lease]
 	// restored receives what the store has after a restore.
-	restored chan Restored
+	restored latest.Value[Restored]
 }
 
 // Restored describes a store that came back from an older copy.
@@ -72,7 +73,7 @@
 
 // NewRegistrar returns a registrar. Run registers the host.
 func NewRegistrar(options Options) *Registrar {
-	r := &Registrar{options: options, random: rand.New(rand.NewPCG(options.Seed, options.Seed)), restored: make(chan Restored, 1)}
+	r := &Registrar{options: options, random: rand.New(rand.NewPCG(options.Seed, options.Seed)), restored: latest.New[Restored]()}
 	r.setLease(Lease{})
 	return r
 }
@@ -80,11 +81,7 @@
 // StoreRestored tells the registrar that the store was restored. It never blocks. Only
 // one goroutine may call it.
 func (r *Registrar) StoreRestored(restored Restored) {
-	select {
-	case <-r.restored: // replaced by the newer one
-	default:
-	}
-	r.restored <- restored
+	r.restored.Set(restored)
 }
 
 // Run registers the host, renews the registration until ctx ends, and then removes the
