catalog, platform, echo: evacuate a data centre

Cause: nothing read the key op/evacuate/DATACENTRE, so upstreams of a data centre that the operator had asked to empty went on getting new flows.

The catalog merges requests and removals like its other records: listing, watch, relay, tombstones that count in compactedPosition, epochs. The view carries what is in force. The engine sets a flag on each upstream when the view changes, so a packet costs no look-up, and excludes flagged upstreams from every choice, from ejection and from the estimates of the service's load. Open flows stay. A copy of a SYN goes elsewhere, waits or is refused; what only evacuated upstreams could serve is reset at once with the reason "evacuated".

Ruled out: comparing revisions alone after a restore (a tombstone inferred by a host that had lost part of a listing then withdrew a request; found by rapid); accepting a request from a source that is behind (it would stay for ever once this host has deleted the tombstone).

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -58,6 +58,7 @@
 	overrides int
 	hosts     map[string]hostEntry
 	peerKeyState
+	evacuationState
 	// epoch is the epoch of the last merged answer.
 	epoch uint64
 	// position is the position up to which the catalog is complete. Its revision is zero
@@ -103,7 +104,10 @@
 	if options.OutageThreshold == 0 {
 		options.OutageThreshold = DefaultOutageThreshold
 	}
-	return &Catalog{options: options, upstreams: make(map[string]*Entry), hosts: make(map[string]hostEntry)}
+	return &Catalog{
+		options: options, upstreams: make(map[string]*Entry), hosts: make(map[string]hostEntry),
+		evacuationState: evacuationState{evacuations: make(map[string]*evacuationEntry)},
+	}
 }
 
 // SetOutageThreshold replaces the time without contact after which the store
@@ -121,7 +125,7 @@
 // Have returns the catalog's position and configuration version. From these, a source
 // determines which changes the catalog lacks.
 func (c *Catalog) Have() Have {
-	return Have{Position: c.position, Version: c.Version(), Overrides: c.overrides}
+	return Have{Position: c.position, Version: c.Version(), Overrides: c.overrides + c.evacuationOverrides()}
 }
 
 // Position returns the position up to which the catalog is complete.
@@ -146,6 +150,7 @@
 	}
 	c.recordContact(now, update.Age)
 	complete := true
+	c.sourcePosition = update.Position
 	for i := range update.Changes {
 		complete = c.applyChange(now, &update.Changes[i]) && complete
 	}
@@ -214,6 +219,8 @@
 		c.setSnapshot(*change.Snapshot, change.Position)
 	case change.PeerKey != nil:
 		c.setPeerKey(change.PeerKey, change.Position)
+	case change.Evacuation != nil:
+		c.mergeEvacuation(now, change)
 	}
 	return true
 }
@@ -286,6 +293,7 @@
 			delete(c.hosts, name)
 		}
 	}
+	c.expireEvacuations(now)
 }
 
 // TakeView returns the current view and true if it changed since the last call. The
@@ -298,6 +306,7 @@
 	view := View{
 		Configuration: c.configuration, Position: c.position, Upstreams: make([]Entry, 0, len(c.upstreams)), Partial: !c.confirmed,
 		PeerKey: c.peerKey, FormerPeerKey: c.formerPeerKey, LostPeerKey: c.lostPeerKey,
+		Evacuations: c.evacuationsInForce(),
 	}
 	for _, name := range slices.Sorted(maps.Keys(c.upstreams)) {
 		if e := c.upstreams[name]; e.ID != 0 {
--- a/internal/catalog/change.go
+++ b/internal/catalog/change.go
@@ -3,8 +3,8 @@
 import "time"
 
 // Change is one record of the store that was written or removed, in decoded form. Exactly
-// one of Configuration, Delta, Upstream, Removed, Host, HostRemoved, PeerKey and
-// Snapshot is set.
+// one of Configuration, Delta, Upstream, Removed, Host, HostRemoved, PeerKey, Snapshot and
+// Evacuation is set.
 type Change struct {
 	// Position is where the store made the change.
 	Position Position
@@ -34,6 +34,8 @@
 	PeerKey []byte
 	// Snapshot is a snapshot that was written; zero if it was removed.
 	Snapshot *StoredSnapshot
+	// Evacuation is the request to evacuate a data centre, or its removal.
+	Evacuation *EvacuationRecord
 }
 
 // StoredSnapshot describes the snapshot of a catalog in the store.
@@ -51,7 +53,8 @@
 	Position Position
 	// Version is the version of the host's configuration.
 	Version uint64
-	// Overrides is the number of upstreams of which the host knows more than the store.
+	// Overrides is the number of upstreams and evacuations of which the host knows more
+	// than the store.
 	Overrides int
 }
 
--- a/internal/catalog/consistency_test.go
+++ b/internal/catalog/consistency_test.go
@@ -23,10 +23,14 @@
 	upstreams map[string]*Upstream
 	// copies are older states of the store.
 	copies []fakeStore
+	// evacuated are the data centres that the operator wants to be evacuated, and
+	// evacuationWrites what the operator wrote about them, oldest first, also what was lost.
+	evacuated        map[string]bool
+	evacuationWrites []evacuationWrite
 }
 
 func newFakeStore() *fakeStore {
-	return &fakeStore{position: at(1), records: make(map[string]Change), upstreams: make(map[string]*Upstream)}
+	return &fakeStore{position: at(1), records: make(map[string]Change), upstreams: make(map[string]*Upstream), evacuated: make(map[string]bool)}
 }
 
 // write adds or replaces the record with the key.
@@ -50,6 +54,18 @@
 	store.write(Change{Upstream: &record}, u.Name)
 }
 
+// writeEvacuation writes what the operator wants of the data centre.
+func (store *fakeStore) writeEvacuation(dataCentre string) {
+	key := "evacuate-" + dataCentre
+	change := Change{Evacuation: &EvacuationRecord{DataCentre: dataCentre, Withdrawn: !store.evacuated[dataCentre]}}
+	if store.evacuated[dataCentre] {
+		store.write(change, key)
+	} else if _, ok := store.records[key]; ok {
+		store.remove(change, key)
+	}
+	store.evacuationWrites = append(store.evacuationWrites, evacuationWrite{dataCentre, store.evacuated[dataCentre]})
+}
+
 // takeCopy keeps a copy of the store from which it can be restored.
 func (store *fakeStore) takeCopy() {
 	store.copies = append(store.copies, fakeStore{position: store.position, records: maps.Clone(store.records), history: slices.Clone(store.history)})
@@ -77,6 +93,11 @@
 	if stored, ok := store.records["config"]; store.version > 0 && (!ok || stored.Configuration.Version < store.version) {
 		store.write(configuration(0, store.version), "config")
 	}
+	for _, name := range slices.Sorted(maps.Keys(store.evacuated)) {
+		if _, ok := store.records["evacuate-"+name]; ok != store.evacuated[name] {
+			store.writeEvacuation(name)
+		}
+	}
 	for _, name := range slices.Sorted(maps.Keys(store.upstreams)) {
 		u := store.upstreams[name]
 		if stored, ok := store.records[name]; !ok || !sameRegistration(stored.Upstream, u) {
@@ -94,7 +115,7 @@
 func (store *fakeStore) applyRandomChange(t *rapid.T) {
 	name := fmt.Sprintf("u%d", rapid.IntRange(0, 5).Draw(t, "upstream"))
 	u := store.upstreams[name]
-	switch rapid.SampledFrom([]string{"register", "drain", "remove", "configure", "host", "host-gone", "copy", "restore", "settle"}).Draw(t, "change") {
+	switch rapid.SampledFrom([]string{"register", "drain", "remove", "configure", "host", "host-gone", "evacuate", "evacuate", "copy", "restore", "settle"}).Draw(t, "change") {
 	case "register":
 		if u == nil {
 			u = upstream(name)
@@ -121,6 +142,10 @@
 		if _, ok := store.records["host-"+name]; ok {
 			store.remove(Change{HostRemoved: name}, "host-"+name)
 		}
+	case "evacuate":
+		dataCentre := fmt.Sprintf("dc%d", rapid.IntRange(0, 1).Draw(t, "data centre"))
+		store.evacuated[dataCentre] = !store.evacuated[dataCentre]
+		store.writeEvacuation(dataCentre)
 	case "copy":
 		store.takeCopy()
 	case "restore":
@@ -212,6 +237,9 @@
 			text += fmt.Sprintf(" %s started=%s draining=%t", e.Name, e.Started, e.Draining)
 		}
 	}
+	for _, e := range view.Evacuations {
+		text += " evacuated=" + e.DataCentre
+	}
 	return fmt.Sprint(text, hostNames(view.Hosts))
 }
 
@@ -222,10 +250,17 @@
 	// ended holds the last record of each upstream that the catalog has known to drain or
 	// to have left.
 	ended map[string]RecordID
+	// evacuations checks the evacuations.
+	evacuations evacuationOracle
+}
+
+func newWitness() *witness {
+	return &witness{catalog: New(Options{}), ended: make(map[string]RecordID), evacuations: newEvacuationOracle()}
 }
 
 // check reports what the catalog must not do after any step.
-func (w *witness) check(t *rapid.T) {
+func (w *witness) check(t *rapid.T, store *fakeStore) {
+	w.evacuations.check(t, w.catalog, store.evacuationWrites)
 	if w.catalog.Version() < w.version {
 		t.Fatalf("reverted from version %d to %d", w.version, w.catalog.Version())
 	}
@@ -263,7 +298,7 @@
 		store := newFakeStore()
 		witnesses := make([]*witness, 3)
 		for i := range witnesses {
-			witnesses[i] = &witness{catalog: New(Options{}), ended: make(map[string]RecordID)}
+			witnesses[i] = newWitness()
 		}
 		steps := rapid.IntRange(1, 60).Draw(t, "steps")
 		for range steps {
@@ -283,7 +318,7 @@
 				}
 			case "start":
 				if rapid.IntRange(0, 3).Draw(t, "restart") == 0 {
-					witnesses[i] = &witness{catalog: New(Options{}), ended: make(map[string]RecordID)}
+					witnesses[i] = newWitness()
 				}
 			default:
 				if parent.Position().After(c.Position()) {
@@ -293,7 +328,7 @@
 					}
 				}
 			}
-			witnesses[i].check(t)
+			witnesses[i].check(t, store)
 		}
 		store.settle()
 		direct, relayed := witnesses[0].catalog, witnesses[1].catalog
@@ -307,7 +342,7 @@
 		}
 		fresh := New(Options{})
 		store.read(fresh, now, func() {})
-		if direct.overrides+relayed.overrides == 0 {
+		if direct.Have().Overrides+relayed.Have().Overrides == 0 {
 			compareStates(t, direct, relayed, fresh)
 		}
 		// Of an upstream of which only the removal was known, a host believes a record that
--- a/internal/catalog/event.go
+++ b/internal/catalog/event.go
@@ -35,6 +35,13 @@
 	// PeerKeyLost means that the store came back without the peer key, or with one that
 	// had been replaced.
 	PeerKeyLost
+	// EvacuationRequested means that a data centre is to be evacuated.
+	EvacuationRequested
+	// EvacuationWithdrawn means that a data centre is no longer to be evacuated.
+	EvacuationWithdrawn
+	// EvacuationKept means that the store came back without a request to evacuate a data
+	// centre, or with one that had been removed, and that the catalog keeps what it knows.
+	EvacuationKept
 )
 
 var eventNames = map[EventKind]string{
@@ -51,6 +58,9 @@
 	StoreRestored:        "store_restored",
 	RecordOutdated:       "record_outdated",
 	PeerKeyLost:          "peer_key_lost",
+	EvacuationRequested:  "evacuation_requested",
+	EvacuationWithdrawn:  "evacuation_withdrawn",
+	EvacuationKept:       "evacuation_kept",
 }
 
 // String returns the kind's name as it appears in logs.
@@ -59,7 +69,7 @@
 // EventKinds returns all event kinds.
 func EventKinds() []EventKind {
 	kinds := make([]EventKind, 0, len(eventNames))
-	for k := ConfigurationAdopted; k <= PeerKeyLost; k++ {
+	for k := ConfigurationAdopted; k <= EvacuationKept; k++ {
 		kinds = append(kinds, k)
 	}
 	return kinds
@@ -74,10 +84,13 @@
 	// Version is the version of the configuration that was adopted or refused,
 	// PreviousVersion the one that was current before the event.
 	Version, PreviousVersion uint64
-	// Name and DataCentre identify the upstream or host that the event is about.
+	// Name and DataCentre identify the upstream or host that the event is about. Only
+	// DataCentre is set for evacuations.
 	Name, DataCentre string
 	// Service is the upstream's service.
 	Service string
+	// Requested is set for EvacuationKept if what is kept is a request, not its removal.
+	Requested bool
 }
 
 // maxPendingEvents is the maximum number of events between two calls of TakeEvents.
--- a/internal/catalog/listing.go
+++ b/internal/catalog/listing.go
@@ -24,11 +24,13 @@
 	upstreams map[string]struct{}
 	hosts     map[string]struct{}
 	peerKey   bool
+	// evacuations are the data centres with a request in the store.
+	evacuations map[string]struct{}
 }
 
 // BeginListing starts a new listing and discards an unfinished one.
 func (c *Catalog) BeginListing() {
-	c.listing = &listing{upstreams: make(map[string]struct{}), hosts: make(map[string]struct{})}
+	c.listing = &listing{upstreams: make(map[string]struct{}), hosts: make(map[string]struct{}), evacuations: make(map[string]struct{})}
 }
 
 // AddPage merges a page of the listing that BeginListing started. After the last page,
@@ -55,6 +57,10 @@
 		}
 		return nil
 	}
+	if page.Position.Epoch != c.epoch {
+		// The store was restored before the first listing was complete.
+		c.restoreEvacuations(Position{Epoch: page.Position.Epoch})
+	}
 	c.epoch = page.Position.Epoch
 	c.mergePage(now, &page)
 	return nil
@@ -64,6 +70,7 @@
 func (c *Catalog) mergePage(now time.Time, page *Page) {
 	l := c.listing
 	c.recordContact(now, page.Age)
+	c.sourcePosition = l.position
 	for i := range page.Changes {
 		change := &page.Changes[i]
 		switch {
@@ -79,6 +86,9 @@
 		if change.PeerKey != nil {
 			l.peerKey = true
 		}
+		if r := change.Evacuation; r != nil && change.Override == r.Withdrawn {
+			l.evacuations[r.DataCentre] = struct{}{}
+		}
 		c.applyChange(now, change)
 	}
 	if page.Next == "" {
@@ -105,6 +115,7 @@
 			c.setHost(now, hostEntry{Host: h.Host, removed: true, position: l.position})
 		}
 	}
+	c.finishEvacuationListing(now, l)
 	if !l.peerKey {
 		c.losePeerKey(l.position)
 	}
--- a/internal/catalog/restore.go
+++ b/internal/catalog/restore.go
@@ -33,6 +33,7 @@
 		h.position = first
 		c.hosts[name] = h
 	}
+	c.restoreEvacuations(first)
 	c.position, c.compactedPosition = first, first
 	c.configurationPosition, c.configurationOverride = first, c.configuration != nil
 	c.snapshot, c.snapshotPosition = StoredSnapshot{}, first
--- a/internal/catalog/snapshot.go
+++ b/internal/catalog/snapshot.go
@@ -33,6 +33,7 @@
 	if have.Version < c.Version() {
 		changes = append(changes, c.configurationChange(have.Version))
 	}
+	changes = append(changes, c.evacuationChanges(now, have)...)
 	for _, name := range slices.Sorted(maps.Keys(c.hosts)) {
 		if h := c.hosts[name]; h.position.After(position) {
 			changes = append(changes, hostChange(h))
--- a/internal/catalog/view.go
+++ b/internal/catalog/view.go
@@ -78,6 +78,8 @@
 	FormerPeerKey []byte
 	// LostPeerKey is set if PeerKey has to be written to the store again.
 	LostPeerKey *LostPeerKey
+	// Evacuations are the data centres to be evacuated, sorted by name.
+	Evacuations []Evacuation
 	// Partial is set until the first listing is complete, or a snapshot that was read
 	// instead is confirmed. The view may then lack routes and upstreams.
 	Partial bool
--- a/internal/edge/host.go
+++ b/internal/edge/host.go
@@ -172,6 +172,10 @@
 	if event.Kind == echo.Suspected {
 		h.prober.wakeUp()
 	}
+	if event.Kind == echo.EvacuationInForce || event.Kind == echo.EvacuationEnded {
+		h.logEvacuation(event)
+		return
+	}
 	line := h.options.Logger.Warn().Str("upstream", event.Upstream).Str("data_centre", event.DataCentre).Dur("age_ms", event.Age)
 	switch event.Kind {
 	case echo.Suspected, echo.Cleared:
--- a/internal/flow/echo/ejection.go
+++ b/internal/flow/echo/ejection.go
@@ -206,6 +206,9 @@
 	var others answerCounts
 	for _, u := range p.upstreams {
 		u.counts.decay(now)
+		if u.evacuated {
+			continue
+		}
 		if u.acceptsFlows() {
 			available++
 		}
--- a/internal/flow/echo/engine.go
+++ b/internal/flow/echo/engine.go
@@ -73,6 +73,8 @@
 	lastSweep  time.Time
 	// dataCentres holds the data centres of the upstreams by name.
 	dataCentres map[string]*dataCentreHealth
+	// evacuations holds the evacuated data centres by name.
+	evacuations map[string]evacuation
 	// suspectedCount is the number of suspected upstreams.
 	suspectedCount int
 	// lastAnswer is when any upstream last answered a flow of this host.
--- a/internal/flow/echo/established.go
+++ b/internal/flow/echo/established.go
@@ -110,8 +110,8 @@
 // service.
 func (e *Engine) recordResponseTime(now time.Time, r *route, rec *flowRecord, responseTime time.Duration) {
 	p := e.poolOf(rec.upstream)
-	if p == nil {
-		return
+	if p == nil || rec.upstream.evacuated {
+		return // new flows depend on the other upstreams alone
 	}
 	p.updateSlowFraction(now, responseTime, r.Objective)
 	if rec.foundFreeSlot {
@@ -128,7 +128,8 @@
 // A flow with a repeatable request to a suspected upstream is reset, so that the
 // caller sends the request to another one. This applies only if flows of that very
 // upstream went unanswered: when its whole data centre is suspected, it may still
-// work.
+// work. An evacuated upstream is not probed, so only an answer can clear it: a request
+// is given the chance, and reset once it is retransmitted.
 func (e *Engine) resetReason(r *route, u *upstream, s *Segment, retransmitted bool) Reason {
 	departed := u.Presence == catalog.Departed
 	switch {
@@ -136,6 +137,8 @@
 		return UpstreamLeft
 	case departed && (retransmitted || u.suspected()):
 		return UpstreamLost
+	case u.evacuated && !retransmitted:
+		return 0
 	case u.suspected() && u.unansweredFlows > 0 && r.Repeatable && s.Length > 0 && !e.options.Without.Has(UnreachableReset):
 		return Unreachable
 	default:
--- /dev/null
+++ b/internal/flow/echo/evacuation.go
@@ -0,0 +1,105 @@
+package echo
+
+import (
+	"time"
+
+	"github.com/oatlatch/oatlatch/internal/catalog"
+)
+
+// EvacuationStatus describes an evacuated data centre as this host sees it.
+type EvacuationStatus struct {
+	DataCentre string
+	// Position is where the store wrote the request, and Since when a host first knew of it.
+	Position catalog.Position
+	Since    time.Time
+	// Upstreams is the number of upstreams there that are registered and do not drain.
+	Upstreams int
+	// OpenFlows and Outstanding are the numbers of this host's open flows and of its
+	// requests without an answer there.
+	OpenFlows, Outstanding int
+}
+
+// evacuation is a data centre that is evacuated.
+type evacuation struct {
+	catalog.Evacuation
+	// appliedAt is when the engine first applied it.
+	appliedAt time.Time
+}
+
+// setEvacuations replaces the evacuated data centres. It must be called before
+// setUpstreams. It returns those that are new, and those that have ended.
+func (e *Engine) setEvacuations(now time.Time, requested []catalog.Evacuation) (began, ended []evacuation) {
+	evacuations := make(map[string]evacuation, len(requested))
+	for _, request := range requested {
+		applied, known := e.evacuations[request.DataCentre]
+		if !known {
+			applied.appliedAt = now
+		}
+		applied.Evacuation = request
+		if !known {
+			began = append(began, applied)
+		}
+		evacuations[request.DataCentre] = applied
+	}
+	for name, former := range e.evacuations {
+		if _, remains := evacuations[name]; !remains {
+			ended = append(ended, former)
+		}
+	}
+	e.evacuations = evacuations
+	return began, ended
+}
+
+// reportEvacuations reports the evacuations that have begun and ended.
+func (e *Engine) reportEvacuations(now time.Time, began, ended []evacuation) {
+	for i := range began {
+		e.report(Event{Kind: EvacuationInForce, DataCentre: began[i].DataCentre, Evacuation: e.evacuationStatus(&began[i])})
+	}
+	for i := range ended {
+		e.report(Event{Kind: EvacuationEnded, DataCentre: ended[i].DataCentre, Evacuation: e.evacuationStatus(&ended[i]), Age: now.Sub(ended[i].appliedAt)})
+	}
+}
+
+// evacuationStatus counts what is in the data centre.
+func (e *Engine) evacuationStatus(of *evacuation) EvacuationStatus {
+	s := EvacuationStatus{DataCentre: of.DataCentre, Position: of.Position, Since: of.Since}
+	for _, u := range e.upstreams {
+		if u.DataCentre != of.DataCentre {
+			continue
+		}
+		if u.active() {
+			s.Upstreams++
+		}
+		s.OpenFlows += u.openFlows
+		s.Outstanding += u.outstanding
+	}
+	return s
+}
+
+// Evacuations returns the evacuated data centres, in no particular order.
+func (e *Engine) Evacuations() []EvacuationStatus {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	all := make([]EvacuationStatus, 0, len(e.evacuations))
+	for _, evacuated := range e.evacuations {
+		all = append(all, e.evacuationStatus(&evacuated))
+	}
+	return all
+}
+
+// refusalReason returns why no upstream can take a new flow of the route: Evacuated if one
+// could but for an evacuation.
+func (e *Engine) refusalReason(r *route) Reason {
+	for _, share := range r.Shares {
+		p := e.pools[share.Service]
+		if p == nil {
+			continue
+		}
+		for _, u := range p.upstreams {
+			if u.evacuated && u.active() {
+				return Evacuated
+			}
+		}
+	}
+	return NoUpstream
+}
--- a/internal/flow/echo/event.go
+++ b/internal/flow/echo/event.go
@@ -23,27 +23,33 @@
 	Ejected
 	// Returned means that an ejected upstream gets its share of new flows again.
 	Returned
+	// EvacuationInForce means that upstreams of a data centre get no more new flows.
+	EvacuationInForce
+	// EvacuationEnded means that upstreams of the data centre may get new flows again.
+	EvacuationEnded
 )
 
 var eventNames = map[EventKind]string{
-	Suspected:  "upstream_suspected",
-	Cleared:    "upstream_cleared",
-	Unopened:   "flow_unopened",
-	Unanswered: "request_unanswered",
-	Ejected:    "upstream_ejected",
-	Returned:   "upstream_returned",
+	Suspected:         "upstream_suspected",
+	Cleared:           "upstream_cleared",
+	Unopened:          "flow_unopened",
+	Unanswered:        "request_unanswered",
+	Ejected:           "upstream_ejected",
+	Returned:          "upstream_returned",
+	EvacuationInForce: "evacuation_in_force",
+	EvacuationEnded:   "evacuation_ended",
 }
 
 // EventKinds returns all kinds of events.
 func EventKinds() []EventKind {
-	return []EventKind{Suspected, Cleared, Unopened, Unanswered, Ejected, Returned}
+	return []EventKind{Suspected, Cleared, Unopened, Unanswered, Ejected, Returned, EvacuationInForce, EvacuationEnded}
 }
 
 // String returns the event's name in logs.
 func (k EventKind) String() string { return eventNames[k] }
 
-// Event reports that the suspicion or the ejection of an upstream began or ended, or that
-// a flow or request had no answer.
+// Event reports that the suspicion or the ejection of an upstream, or the evacuation of a
+// data centre, began or ended, or that a flow or request had no answer.
 type Event struct {
 	Kind       EventKind
 	Upstream   string
@@ -60,11 +66,13 @@
 	Answers, FailedAnswers float64
 	// Age depends on the kind: the time since the suspected upstream last answered,
 	// the time for which the cleared or returned upstream was suspected or ejected, the
-	// time for which the ejected one will be, or the time since the first SYN or the
-	// request.
+	// time for which the ejected one will be, the time for which the evacuation was in
+	// force here, or the time since the first SYN or the request.
 	Age time.Duration
 	// Caller and Address identify the flow of an Unopened or Unanswered event.
 	Caller, Address netip.AddrPort
+	// Evacuation is set for EvacuationInForce and EvacuationEnded events.
+	Evacuation EvacuationStatus
 }
 
 // reportUnanswered reports that a flow's SYNs or request had no answer. The kind is
--- a/internal/flow/echo/harness_test.go
+++ b/internal/flow/echo/harness_test.go
@@ -31,9 +31,11 @@
 	engine    *Engine
 	upstreams []catalog.Entry
 	routes    []catalog.Route
-	version   uint64
-	events    []Event
-	flowCount int
+	// evacuations are the data centres that are evacuated.
+	evacuations []catalog.Evacuation
+	version     uint64
+	events      []Event
+	flowCount   int
 	// otherServiceFlow is the flow that completeOtherServiceRequest uses.
 	otherServiceFlow *testFlow
 }
@@ -62,7 +64,7 @@
 func (h *harness) applyView() {
 	h.engine.SetView(h.now, catalog.View{
 		Configuration: &catalog.Configuration{Version: h.version, Routes: h.routes, IdleTimeout: 15 * time.Second},
-		Upstreams:     h.upstreams,
+		Upstreams:     h.upstreams, Evacuations: h.evacuations,
 	})
 }
 
--- a/internal/flow/echo/reason.go
+++ b/internal/flow/echo/reason.go
@@ -24,6 +24,10 @@
 	RouteRemoved
 	// NoUpstream means that the route has no upstream that accepts new flows.
 	NoUpstream
+	// Evacuated means that the route's upstreams that could accept new flows are all in
+	// evacuated data centres, or that the packet is a late copy of the SYN of a flow that is
+	// open in one.
+	Evacuated
 	// Overloaded means that a new flow was refused in favour of routes with a higher
 	// priority, because its responses would probably miss the route's objective.
 	Overloaded
@@ -85,6 +89,7 @@
 	NoRoute:                "no-route",
 	RouteRemoved:           "route-removed",
 	NoUpstream:             "no-upstream",
+	Evacuated:              "evacuated",
 	Overloaded:             "overloaded",
 	Queued:                 "queued",
 	UnknownToken:           "unknown-token",
--- a/internal/flow/echo/stats.go
+++ b/internal/flow/echo/stats.go
@@ -12,10 +12,11 @@
 	Version uint64
 	// Flows is the number of flow records.
 	Flows int
-	// Usable, Draining, Departed and Suspected are numbers of upstreams. Draining
-	// excludes departed upstreams; Usable counts those that are in none of the other
-	// states. Suspected also counts suspected upstreams that are draining or departed.
-	Usable, Draining, Departed, Suspected int
+	// Usable, Draining, Departed, Evacuated and Suspected are numbers of upstreams.
+	// Draining excludes departed upstreams, and Evacuated both; Usable counts those that
+	// are in none of the other states. Suspected also counts suspected upstreams that are
+	// draining, departed or evacuated.
+	Usable, Draining, Departed, Evacuated, Suspected int
 	// Ejected is the number of upstreams that new flows avoid because their answers look
 	// failed. They also count in the other numbers.
 	Ejected int
@@ -35,6 +36,8 @@
 			s.Departed++
 		case u.Draining:
 			s.Draining++
+		case u.evacuated:
+			s.Evacuated++
 		case !u.suspected():
 			s.Usable++
 		}
--- a/internal/flow/echo/syn.go
+++ b/internal/flow/echo/syn.go
@@ -18,7 +18,7 @@
 		if e.partial {
 			verdict = Hold
 		}
-		return e.withDetail(now, Decision{Verdict: verdict, Reason: NoUpstream}, r, nil, nil)
+		return e.withDetail(now, Decision{Verdict: verdict, Reason: e.refusalReason(r)}, r, nil, nil)
 	}
 	if p.queue.find(s) != nil {
 		return Decision{Verdict: Hold, Reason: Queued}
@@ -49,24 +49,38 @@
 // decideRetransmittedSYN decides what to do with a further copy of a SYN. The copy goes
 // to the same upstream as before if the flow is open, or if that upstream has answered
 // other flows since the first SYN, because then the first SYN or its answer was merely
-// lost. Otherwise it goes to another upstream if there is one.
+// lost. Otherwise it goes to another upstream if there is one. No copy goes to an upstream
+// whose data centre is evacuated: the flow waits for a slot elsewhere, or is refused, like a
+// new one. If it is open there, the copy is a late one that opens nothing.
 func (e *Engine) decideRetransmittedSYN(now time.Time, r *route, rec *flowRecord, s *Segment) Decision {
 	rec.lastSeen = now
 	e.recordRetransmission(now, rec, rec.created)
 	u := rec.upstream
 	again := e.withDetail(now, forwardTo(u, OpenedAgain), r, u, rec)
+	if u.evacuated && rec.state == stateOpen {
+		return e.withDetail(now, Decision{Verdict: Drop, Reason: Evacuated}, r, u, rec)
+	}
 	if rec.state == stateOpen || u.acceptsFlows() && !u.suspected() && u.lastAnswer.After(rec.created) {
 		return again
 	}
 	other, p := e.selectUpstream(now, r, u)
+	var admitted admission
+	if other != nil && other != u {
+		if admitted = e.admissionOf(now, p, r, other, s); admitted == admit {
+			d := e.withDetail(now, forwardTo(other, OpenedElsewhere), r, u, rec)
+			rec.reassign(other)
+			return d
+		}
+	}
 	switch {
-	case other != nil && other != u && e.admissionOf(now, p, r, other, s) == admit:
-		d := e.withDetail(now, forwardTo(other, OpenedElsewhere), r, u, rec)
-		rec.reassign(other)
-		return d
 	case u.acceptsFlows():
 		return again
+	case other == nil:
+		return e.withDetail(now, Decision{Verdict: Reset, Reason: e.refusalReason(r)}, r, u, rec)
+	case admitted == enqueue && e.enqueueFlow(now, p, r, s):
+		e.removeRecord(flowKey{caller: s.Caller, address: s.VirtualAddress}, rec)
+		return Decision{Verdict: Hold, Reason: Queued}
 	default:
-		return e.withDetail(now, Decision{Verdict: Reset, Reason: NoUpstream}, r, u, rec)
+		return e.withDetail(now, Decision{Verdict: Reset, Reason: Overloaded}, r, u, rec)
 	}
 }
--- a/internal/flow/echo/upstream.go
+++ b/internal/flow/echo/upstream.go
@@ -20,6 +20,8 @@
 	token      Token
 	// local is set if the upstream is in the host's own data centre.
 	local bool
+	// evacuated is set while the upstream's data centre is evacuated.
+	evacuated bool
 	// outstanding is the number of this host's flows that await a response, each
 	// counted from its SYN on.
 	outstanding int
@@ -38,9 +40,14 @@
 	return token
 }
 
+// active reports whether the upstream itself is ready for new flows.
+func (u *upstream) active() bool {
+	return !u.Draining && u.Presence != catalog.Departed
+}
+
 // acceptsFlows reports whether new flows may go to the upstream.
 func (u *upstream) acceptsFlows() bool {
-	return !u.Draining && u.Presence != catalog.Departed
+	return u.active() && !u.evacuated
 }
 
 // effectiveSlots returns the number of the upstream's slots, reduced by
--- a/internal/flow/echo/view.go
+++ b/internal/flow/echo/view.go
@@ -17,7 +17,9 @@
 	if c := view.Configuration; c != nil && c.Version != e.version {
 		e.applyConfiguration(c)
 	}
+	began, ended := e.setEvacuations(now, view.Evacuations)
 	e.setUpstreams(now, view.Upstreams)
+	e.reportEvacuations(now, began, ended)
 }
 
 // applyConfiguration replaces the routes and timeouts, and records the addresses of
@@ -92,6 +94,7 @@
 			e.dataCentres[entry.DataCentre] = &dataCentreHealth{}
 		}
 		u.local = entry.DataCentre == e.options.DataCentre
+		_, u.evacuated = e.evacuations[entry.DataCentre]
 		upstreams[entry.ID] = u
 		if _, taken := e.upstreamsByToken[u.token]; taken {
 			// Another upstream has the same token. Entries are sorted by name, so all
--- a/internal/forward/echo_metrics.go
+++ b/internal/forward/echo_metrics.go
@@ -70,10 +70,13 @@
 }
 
 var (
-	versionDesc   = prometheus.NewDesc("oatlatch_echo_configuration_version", "Version of the configuration in force.", nil, nil)
-	flowsDesc     = prometheus.NewDesc("oatlatch_echo_flow_records", "Flow records held.", nil, nil)
-	waitingDesc   = prometheus.NewDesc("oatlatch_echo_waiting_flows", "New flows that wait for a slot.", nil, nil)
-	upstreamsDesc = prometheus.NewDesc("oatlatch_echo_upstreams", "Upstreams, by what new flows may do with them.", []string{"state"}, nil)
+	versionDesc              = prometheus.NewDesc("oatlatch_echo_configuration_version", "Version of the configuration in force.", nil, nil)
+	flowsDesc                = prometheus.NewDesc("oatlatch_echo_flow_records", "Flow records held.", nil, nil)
+	waitingDesc              = prometheus.NewDesc("oatlatch_echo_waiting_flows", "New flows that wait for a slot.", nil, nil)
+	evacuatedDataCentresDesc = prometheus.NewDesc("oatlatch_echo_evacuated_data_centres", "Data centres whose upstreams get no new flows because they are evacuated.", nil, nil)
+	evacuatedFlowsDesc       = prometheus.NewDesc("oatlatch_echo_evacuated_open_flows", "This host's open flows at upstreams of an evacuated data centre.", []string{"data_centre"}, nil)
+	evacuatedRequestsDesc    = prometheus.NewDesc("oatlatch_echo_evacuated_requests", "This host's requests without an answer at upstreams of an evacuated data centre.", []string{"data_centre"}, nil)
+	upstreamsDesc            = prometheus.NewDesc("oatlatch_echo_upstreams", "Upstreams, by what new flows may do with them.", []string{"state"}, nil)
 )
 
 // Describe implements prometheus.Collector.
@@ -82,6 +85,9 @@
 	out <- flowsDesc
 	out <- waitingDesc
 	out <- upstreamsDesc
+	out <- evacuatedDataCentresDesc
+	out <- evacuatedFlowsDesc
+	out <- evacuatedRequestsDesc
 }
 
 // Collect implements prometheus.Collector.
@@ -98,6 +104,13 @@
 	gauge(upstreamsDesc, s.Suspected, "suspected")
 	gauge(upstreamsDesc, s.Ejected, "ejected")
 	gauge(upstreamsDesc, s.Departed, "departed")
+	gauge(upstreamsDesc, s.Evacuated, "evacuated")
+	evacuations := c.engine.Evacuations()
+	gauge(evacuatedDataCentresDesc, len(evacuations))
+	for i := range evacuations {
+		gauge(evacuatedFlowsDesc, evacuations[i].OpenFlows, evacuations[i].DataCentre)
+		gauge(evacuatedRequestsDesc, evacuations[i].Outstanding, evacuations[i].DataCentre)
+	}
 }
 
 // malformedLogInterval is the minimum time between log lines about malformed
