catalog, echo: former services of routes survive the start of a host

Cause: the engine alone remembered which services earlier configurations had for a route. A host that started after a route had moved to another service dropped the packets of flows opened before (wrong-service), and one that started after a route was removed dropped its packets instead of resetting.

Ruled out: the service in the token (callers could choose it), the store's history (20 s, may be discarded), a record per change (a write per change).

Have gets HistoryFrom, the position from which on a host knows all configurations; a source that knows more sends all. A listing of the store that may have skipped a configuration begins a new history. View.Former holds the services for the engine, shared between views until it changes, so a change of upstreams builds nothing per route. The engine keeps nothing of its own; while the history may be incomplete it holds what it would drop, also the first packet after a SYN whose token names an unknown service.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -21,14 +21,15 @@
 	// although its registration has expired. Such upstreams register again within
 	// about two seconds of the store's recovery.
 	RecoveryGracePeriod = 2500 * time.Millisecond
-	// DepartedRetention is how long a departed upstream or host stays in the
-	// catalog. Open flows still refer to a departed upstream, so this exceeds the
-	// maximum age of a flow.
-	DepartedRetention = 90 * time.Second
+	// DefaultRetention is the default value of Options.Retention.
+	DefaultRetention = 90 * time.Second
 	// DefaultOutageThreshold is the default value of Options.OutageThreshold.
 	DefaultOutageThreshold = 3 * time.Second
 )
 
+// RetentionOf returns the retention for flows that are open for at most the given time.
+func RetentionOf(flowAge time.Duration) time.Duration { return flowAge + flowAge/2 }
+
 // Options configures a Catalog.
 type Options struct {
 	// OutageThreshold is the time without contact after which the store counts as
@@ -36,6 +37,10 @@
 	// lapsed instead of removed. It must exceed the longest time between two reads.
 	// Zero means DefaultOutageThreshold.
 	OutageThreshold time.Duration
+	// Retention is how long a departed upstream or host and a former service of a route
+	// stay in the catalog. Open flows still refer to them, so this must exceed the maximum
+	// age of a flow. Zero means DefaultRetention.
+	Retention time.Duration
 }
 
 // Catalog merges changes and listings into one consistent state. Records may arrive in
@@ -58,6 +63,7 @@
 	overrides int
 	hosts     map[string]hostEntry
 	peerKeyState
+	historyState
 	// epoch is the epoch of the last merged answer.
 	epoch uint64
 	// position is the position up to which the catalog is complete. Its revision is zero
@@ -103,6 +109,9 @@
 	if options.OutageThreshold == 0 {
 		options.OutageThreshold = DefaultOutageThreshold
 	}
+	if options.Retention == 0 {
+		options.Retention = DefaultRetention
+	}
 	return &Catalog{options: options, upstreams: make(map[string]*Entry), hosts: make(map[string]hostEntry)}
 }
 
@@ -110,6 +119,10 @@
 // counts as unavailable.
 func (c *Catalog) SetOutageThreshold(d time.Duration) { c.options.OutageThreshold = d }
 
+// SetRetention replaces the retention of departed upstreams, departed hosts and former
+// services.
+func (c *Catalog) SetRetention(d time.Duration) { c.options.Retention = d }
+
 // Version returns the version of the current configuration, or zero if there is none.
 func (c *Catalog) Version() uint64 {
 	if c.configuration == nil {
@@ -121,7 +134,7 @@
 // Have returns the catalog's position and configuration version. From these, a source
 // determines which changes the catalog lacks.
 func (c *Catalog) Have() Have {
-	return Have{Position: c.position, Version: c.Version(), Overrides: c.overrides}
+	return Have{Position: c.position, Version: c.Version(), Overrides: c.overrides, HistoryFrom: c.historyFrom}
 }
 
 // Position returns the position up to which the catalog is complete.
@@ -145,11 +158,13 @@
 		return false
 	}
 	c.recordContact(now, update.Age)
-	complete := true
+	c.mergeFormer(now, update.History)
+	previous, complete := c.position, true
 	for i := range update.Changes {
 		complete = c.applyChange(now, &update.Changes[i]) && complete
 	}
 	if complete {
+		c.mergeUpdateHistory(now, &update, previous)
 		c.position = laterOf(c.position, update.Position)
 		c.confirm()
 	}
@@ -195,9 +210,9 @@
 func (c *Catalog) applyChange(now time.Time, change *Change) bool {
 	switch {
 	case change.Delta != nil:
-		return c.adoptDelta(change)
+		return c.adoptDelta(now, change)
 	case change.Configuration != nil:
-		c.adoptConfiguration(change.Configuration, change)
+		c.adoptConfiguration(now, change.Configuration, change)
 	case change.Upstream != nil:
 		c.registerUpstream(now, change)
 	case change.Removed != "":
@@ -219,9 +234,13 @@
 }
 
 // adoptConfiguration makes a configuration the current one unless the catalog has a
-// newer one. An older version at a later position is refused with an event.
-func (c *Catalog) adoptConfiguration(configuration *Configuration, change *Change) {
+// newer one. An older version at a later position is refused with an event. The services
+// of an older version are recorded as former ones, in case the catalog has missed it.
+func (c *Catalog) adoptConfiguration(now time.Time, configuration *Configuration, change *Change) {
 	position := change.Position
+	if configuration.Version < c.Version() {
+		c.recordDropped(now, configuration, c.configuration, c.configurationPosition, Position{})
+	}
 	if !change.Override && !position.After(c.configurationPosition) {
 		return
 	}
@@ -229,11 +248,13 @@
 		c.recordEvent(Event{Kind: ConfigurationRefused, Position: position, Version: configuration.Version, PreviousVersion: c.Version()})
 		return
 	}
+	known := c.configurationPosition
 	c.configurationOverride = change.Override
 	c.configurationPosition = laterOf(c.configurationPosition, position)
 	if configuration.Version == c.Version() {
 		return
 	}
+	c.recordDropped(now, c.configuration, configuration, position, known)
 	c.addRecentConfiguration(configuration)
 	c.recordEvent(Event{Kind: ConfigurationAdopted, Position: position, Version: configuration.Version, PreviousVersion: c.Version()})
 	c.configuration = configuration
@@ -259,9 +280,11 @@
 
 // expireEntries marks lapsed upstreams as departed once the grace period is over, and
 // accepts the store's outdated records once their upstreams must have kept them. It
-// deletes upstreams that departed, and hosts that were removed, more than
-// DepartedRetention ago.
+// deletes what is older than the retention: departed upstreams, removed hosts and former
+// services.
 func (c *Catalog) expireEntries(now time.Time) {
+	c.expireFormer(now)
+	retained := c.retainedSince(now)
 	for name, e := range c.upstreams {
 		switch {
 		case e.Presence == Lapsed && now.Sub(c.recoveredAt) >= RecoveryGracePeriod:
@@ -274,14 +297,14 @@
 				c.setRegistration(now, e, &stored, e.position)
 				e.settled = true
 			}
-		case e.Presence == Departed && now.Sub(e.PresenceSince) > DepartedRetention:
+		case e.Presence == Departed && e.PresenceSince.Before(retained):
 			c.compactedPosition = laterOf(c.compactedPosition, e.position)
 			delete(c.upstreams, name)
 			c.viewChanged = true
 		}
 	}
 	for name, h := range c.hosts {
-		if h.removed && now.Sub(h.changedAt) > DepartedRetention {
+		if h.removed && h.changedAt.Before(retained) {
 			c.compactedPosition = laterOf(c.compactedPosition, h.position)
 			delete(c.hosts, name)
 		}
@@ -298,6 +321,7 @@
 	view := View{
 		Configuration: c.configuration, Position: c.position, Upstreams: make([]Entry, 0, len(c.upstreams)), Partial: !c.confirmed,
 		PeerKey: c.peerKey, FormerPeerKey: c.formerPeerKey, LostPeerKey: c.lostPeerKey,
+		Former: c.formerView(), HistoryCompleteAt: c.historyCompleteAt(),
 	}
 	for _, name := range slices.Sorted(maps.Keys(c.upstreams)) {
 		if e := c.upstreams[name]; e.ID != 0 {
--- a/internal/catalog/catalog_test.go
+++ b/internal/catalog/catalog_test.go
@@ -88,7 +88,7 @@
 	c.Apply(start, Update{Changes: []Change{registration(7, "a")}, Position: at(7)})
 	g.Expect(presenceOf(c, "a")).To(Equal(Registered))
 	c.Apply(start.Add(time.Second), Update{Changes: []Change{removal(8, "a")}, Position: at(8)})
-	c.Apply(start.Add(time.Second+DepartedRetention+time.Millisecond), Update{Position: at(9)})
+	c.Apply(start.Add(time.Second+DefaultRetention+time.Millisecond), Update{Position: at(9)})
 	g.Expect(presenceOf(c, "a")).To(BeZero())
 }
 
--- a/internal/catalog/change.go
+++ b/internal/catalog/change.go
@@ -53,6 +53,8 @@
 	Version uint64
 	// Overrides is the number of upstreams of which the host knows more than the store.
 	Overrides int
+	// HistoryFrom is the position from which on the host knows all configurations.
+	HistoryFrom Position
 }
 
 // Update holds the changes up to a position.
@@ -64,6 +66,9 @@
 	Age time.Duration
 	// Via is the name of the host that the source reads; empty if it reads the store.
 	Via string
+	// History is what the source knows of configurations before the last one; nil if the
+	// update leaves out none since the position of the reader.
+	History *History
 }
 
 // Page is one page of a listing of all records.
@@ -81,6 +86,8 @@
 	Age time.Duration
 	// Via is the name of the host that the source reads; empty if it reads the store.
 	Via string
+	// History is what the source knows of earlier configurations; nil if it knows none.
+	History *History
 	// Unconfirmed is set if the page comes from a snapshot that may lack changes after
 	// its position.
 	Unconfirmed bool
--- a/internal/catalog/consistency_test.go
+++ b/internal/catalog/consistency_test.go
@@ -345,7 +345,7 @@
 func TestChangesSinceRequiresListingBeforeDroppedRemoval(t *testing.T) {
 	c := New(Options{})
 	c.Apply(start, Update{Changes: []Change{registration(3, "a"), removal(6, "a")}, Position: at(6)})
-	later := start.Add(DepartedRetention + time.Second)
+	later := start.Add(DefaultRetention + time.Second)
 	c.Apply(later, Update{Position: at(7)})
 	if _, ok := c.ChangesSince(later, Have{Position: at(5)}); ok {
 		t.Error("got an update without the dropped removal at 6: a host at 5 would keep the upstream forever")
--- a/internal/catalog/delta.go
+++ b/internal/catalog/delta.go
@@ -87,7 +87,7 @@
 
 // adoptDelta adopts the result of applying the delta to the current configuration. It
 // returns false if the current configuration is not the delta's base.
-func (c *Catalog) adoptDelta(change *Change) bool {
+func (c *Catalog) adoptDelta(now time.Time, change *Change) bool {
 	d := change.Delta
 	if d.Version <= c.Version() {
 		return true
@@ -95,6 +95,6 @@
 	if c.configuration == nil || d.Base != c.Version() {
 		return false
 	}
-	c.adoptConfiguration(d.apply(c.configuration), change)
+	c.adoptConfiguration(now, d.apply(c.configuration), change)
 	return true
 }
--- /dev/null
+++ b/internal/catalog/former_services.go
@@ -0,0 +1,58 @@
+package catalog
+
+import (
+	"net/netip"
+	"slices"
+)
+
+// FormerServices holds the former services of routes by address. It is read-only; the nil
+// pointer holds none.
+type FormerServices struct {
+	services map[netip.AddrPort][]string
+}
+
+// Has reports whether an earlier configuration had the service for the address.
+func (f *FormerServices) Has(address netip.AddrPort, service string) bool {
+	return f != nil && slices.Contains(f.services[address], service)
+}
+
+// HasRoute reports whether the address has a former service. If no route has the address,
+// its route was removed.
+func (f *FormerServices) HasRoute(address netip.AddrPort) bool {
+	return f != nil && len(f.services[address]) > 0
+}
+
+// Len returns the number of routes with former services.
+func (f *FormerServices) Len() int {
+	if f == nil {
+		return 0
+	}
+	return len(f.services)
+}
+
+// add adds a service while the value is built.
+func (f *FormerServices) add(address netip.AddrPort, service string) {
+	if !f.Has(address, service) {
+		f.services[address] = append(f.services[address], service)
+	}
+}
+
+// With returns the former services of f and of the other, and those that the configuration
+// before has and the one after lacks.
+func (f *FormerServices) With(other *FormerServices, before, after *Configuration) *FormerServices {
+	result := &FormerServices{services: make(map[netip.AddrPort][]string)}
+	for _, source := range []*FormerServices{f, other} {
+		if source == nil {
+			continue
+		}
+		for address, services := range source.services {
+			for _, service := range services {
+				result.add(address, service)
+			}
+		}
+	}
+	for _, key := range droppedServices(before, after) {
+		result.add(key.address, key.service)
+	}
+	return result
+}
--- a/internal/catalog/listing.go
+++ b/internal/catalog/listing.go
@@ -24,6 +24,10 @@
 	upstreams map[string]struct{}
 	hosts     map[string]struct{}
 	peerKey   bool
+	// configured is the position of the configuration in the pages, and history what the
+	// source knows of earlier ones.
+	configured Position
+	history    *History
 }
 
 // BeginListing starts a new listing and discards an unfinished one.
@@ -64,6 +68,10 @@
 func (c *Catalog) mergePage(now time.Time, page *Page) {
 	l := c.listing
 	c.recordContact(now, page.Age)
+	if page.History != nil {
+		l.history = page.History
+		c.mergeFormer(now, page.History)
+	}
 	for i := range page.Changes {
 		change := &page.Changes[i]
 		switch {
@@ -79,6 +87,9 @@
 		if change.PeerKey != nil {
 			l.peerKey = true
 		}
+		if change.Configuration != nil {
+			l.configured = change.Position
+		}
 		c.applyChange(now, change)
 	}
 	if page.Next == "" {
@@ -108,6 +119,7 @@
 	if !l.peerKey {
 		c.losePeerKey(l.position)
 	}
+	c.mergeListingHistory(now, l)
 	c.position = laterOf(c.position, l.position)
 	// Removals before the listing are unknown, so a host at an older position needs a
 	// listing as well.
--- a/internal/catalog/route.go
+++ b/internal/catalog/route.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"slices"
 	"time"
 )
 
@@ -22,6 +23,11 @@
 	Priority int
 }
 
+// HasService reports whether new flows of the route go to the service.
+func (r *Route) HasService(service string) bool {
+	return slices.ContainsFunc(r.Shares, func(s Share) bool { return s.Service == service })
+}
+
 // Share is a service's weighted share of a route's new flows.
 type Share struct {
 	Service string
--- a/internal/catalog/snapshot.go
+++ b/internal/catalog/snapshot.go
@@ -14,12 +14,12 @@
 	if have.Position.Epoch != c.position.Epoch || c.compactedPosition.After(have.Position) || c.lastContact.IsZero() {
 		return Update{}, false
 	}
-	return Update{Changes: c.changesAfter(now, have), Position: c.position, Age: now.Sub(c.lastContact)}, true
+	return Update{Changes: c.changesAfter(now, have), Position: c.position, Age: now.Sub(c.lastContact), History: c.historyFor(now, have)}, true
 }
 
 // Snapshot returns the whole catalog as one page of a listing.
 func (c *Catalog) Snapshot(now time.Time) Page {
-	return Page{Changes: c.changesAfter(now, Have{}), Position: c.position, Age: now.Sub(c.lastContact)}
+	return Page{Changes: c.changesAfter(now, Have{}), Position: c.position, Age: now.Sub(c.lastContact), History: c.historyFor(now, Have{})}
 }
 
 // changesAfter returns the records that a host with the given state lacks. They include
--- a/internal/catalog/view.go
+++ b/internal/catalog/view.go
@@ -81,4 +81,10 @@
 	// Partial is set until the first listing is complete, or a snapshot that was read
 	// instead is confirmed. The view may then lack routes and upstreams.
 	Partial bool
+	// Former holds the former services of routes. It is nil, or shared by views until it
+	// changes.
+	Former *FormerServices
+	// HistoryCompleteAt is when the catalog will know all configurations whose flows may
+	// still be open. Until then, Former may lack services.
+	HistoryCompleteAt time.Time
 }
--- a/internal/flow/echo/engine.go
+++ b/internal/flow/echo/engine.go
@@ -30,9 +30,6 @@
 // route is a configured route with the engine's state for it.
 type route struct {
 	catalog.Route
-	// allowedServices are the services that any applied configuration had for the
-	// route, so that open flows stay valid when the route moves to another service.
-	allowedServices map[string]struct{}
 	// typical tells which answers of the route are usual.
 	typical *typicalAnswer
 	// sheddable is set if new flows may be refused under overload in favour of
@@ -60,8 +57,10 @@
 	// partial is set while the current view may lack routes and upstreams.
 	partial bool
 	routes  map[netip.AddrPort]*route
-	// removedRoutes are the addresses of routes that a later configuration removed.
-	removedRoutes map[netip.AddrPort]struct{}
+	// former holds the former services of routes. It may lack some until
+	// historyCompleteAt.
+	former            *catalog.FormerServices
+	historyCompleteAt time.Time
 	// healthPaths are the paths of health checks by service.
 	healthPaths      map[string]string
 	upstreams        map[catalog.UpstreamID]*upstream
@@ -94,7 +93,6 @@
 		random:           rand.New(rand.NewPCG(options.Seed, options.Seed)),
 		idleTimeout:      defaultIdleTimeout,
 		routes:           make(map[netip.AddrPort]*route),
-		removedRoutes:    make(map[netip.AddrPort]struct{}),
 		upstreams:        make(map[catalog.UpstreamID]*upstream),
 		upstreamsByToken: make(map[Token]*upstream),
 		pools:            make(map[string]*pool),
@@ -117,7 +115,7 @@
 	r := e.routes[s.VirtualAddress]
 	switch {
 	case r == nil:
-		return e.withDetail(now, e.decideUnrouted(s), nil, nil, nil)
+		return e.withDetail(now, e.decideUnrouted(now, s), nil, nil, nil)
 	case s.SYN && !s.ACK:
 		return e.decideSYN(now, r, s)
 	default:
@@ -129,20 +127,20 @@
 // packet other than a SYN is answered with a RST only if the route is known to have
 // been removed, because a host whose configuration is out of date must not reset
 // flows of a new route.
-func (e *Engine) decideUnrouted(s *Segment) Decision {
+func (e *Engine) decideUnrouted(now time.Time, s *Segment) Decision {
 	if s.RST {
 		return Decision{Verdict: Drop, Reason: NoRoute}
 	}
 	if e.partial {
 		return Decision{Verdict: Hold, Reason: NoRoute}
 	}
-	if _, removed := e.removedRoutes[s.VirtualAddress]; removed {
+	if e.former.HasRoute(s.VirtualAddress) {
 		return Decision{Verdict: Reset, Reason: RouteRemoved}
 	}
 	if s.SYN {
 		return Decision{Verdict: Reset, Reason: NoRoute}
 	}
-	return Decision{Verdict: Drop, Reason: NoRoute}
+	return Decision{Verdict: e.dropOrHold(now), Reason: NoRoute}
 }
 
 // poolOf returns the pool of the upstream's service, or nil.
--- a/internal/flow/echo/established.go
+++ b/internal/flow/echo/established.go
@@ -22,14 +22,14 @@
 			}
 			return e.withDetail(now, Decision{Verdict: verdict, Reason: UnknownToken}, r, nil, nil)
 		}
-		if _, ok := r.allowedServices[u.Service]; !ok {
-			return e.withDetail(now, Decision{Verdict: Drop, Reason: WrongService}, r, u, nil)
+		if !e.allows(r, u) {
+			return e.withDetail(now, Decision{Verdict: e.dropOrHold(now), Reason: WrongService}, r, u, nil)
 		}
 		rec = &flowRecord{upstream: u, state: stateOpening, nextSeq: s.Seq, highestAck: s.Ack, created: now, lastSeen: now, requestTimeout: r.Timeout}
 		e.storeRecord(key, rec)
 		reason = Echoed
-	} else if rec.state == stateOpening {
-		e.bindToToken(r, rec, s)
+	} else if rec.state == stateOpening && !e.bindToToken(now, r, rec, s) {
+		return e.withDetail(now, Decision{Verdict: Hold, Reason: WrongService}, r, rec.upstream, rec)
 	}
 	retransmitted, responseTime := e.updateRecord(now, r, rec, s)
 	if retransmitted {
@@ -49,15 +49,18 @@
 // bindToToken assigns the flow, at its first packet after the SYN, to the upstream
 // that its token identifies if the route allows that upstream's service. The caller
 // echoes the token of the upstream that answered first, which may not be the one
-// that the last SYN went to.
-func (e *Engine) bindToToken(r *route, rec *flowRecord, s *Segment) {
+// that the last SYN went to. It returns false while it cannot tell whether the route
+// allows the service.
+func (e *Engine) bindToToken(now time.Time, r *route, rec *flowRecord, s *Segment) bool {
 	u := e.upstreamsByToken[s.Token]
-	if u == nil || u == rec.upstream {
-		return
-	}
-	if _, ok := r.allowedServices[u.Service]; ok {
+	switch {
+	case u == nil || u == rec.upstream:
+	case e.allows(r, u):
 		rec.reassign(u)
+	default:
+		return e.dropOrHold(now) == Drop
 	}
+	return true
 }
 
 // updateRecord updates the flow's record from the packet. It reports whether the
--- a/internal/flow/echo/harness_test.go
+++ b/internal/flow/echo/harness_test.go
@@ -32,8 +32,12 @@
 	upstreams []catalog.Entry
 	routes    []catalog.Route
 	version   uint64
-	events    []Event
-	flowCount int
+	// configuration is the last one that was applied, and former what those before it had.
+	configuration     *catalog.Configuration
+	former            *catalog.FormerServices
+	historyCompleteAt time.Time
+	events            []Event
+	flowCount         int
 	// otherServiceFlow is the flow that completeOtherServiceRequest uses.
 	otherServiceFlow *testFlow
 }
@@ -58,12 +62,21 @@
 	}}
 }
 
-// applyView passes the harness's configuration and upstreams to its engine.
+// applyView passes the harness's configuration and upstreams to its engine, together with
+// the services that earlier configurations had.
 func (h *harness) applyView() {
-	h.engine.SetView(h.now, catalog.View{
-		Configuration: &catalog.Configuration{Version: h.version, Routes: h.routes, IdleTimeout: 15 * time.Second},
-		Upstreams:     h.upstreams,
-	})
+	configuration := &catalog.Configuration{Version: h.version, Routes: h.routes, IdleTimeout: 15 * time.Second}
+	if h.configuration != nil {
+		h.former = h.former.With(nil, h.configuration, configuration)
+	}
+	h.configuration = configuration
+	h.engine.SetView(h.now, catalog.View{Configuration: configuration, Upstreams: h.upstreams, Former: h.former, HistoryCompleteAt: h.historyCompleteAt})
+}
+
+// restart replaces the engine by one of a host that has just started with the same view.
+func (h *harness) restart() {
+	h.engine = New(Options{DataCentre: localDC, Seed: 99})
+	h.applyView()
 }
 
 // updateUpstream changes the upstream with the given number and applies the view.
--- a/internal/flow/echo/view.go
+++ b/internal/flow/echo/view.go
@@ -14,14 +14,14 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.viewSetAt, e.partial = now, view.Partial
+	e.former, e.historyCompleteAt = view.Former, view.HistoryCompleteAt
 	if c := view.Configuration; c != nil && c.Version != e.version {
 		e.applyConfiguration(c)
 	}
 	e.setUpstreams(now, view.Upstreams)
 }
 
-// applyConfiguration replaces the routes and timeouts, and records the addresses of
-// removed routes.
+// applyConfiguration replaces the routes and timeouts.
 func (e *Engine) applyConfiguration(c *catalog.Configuration) {
 	e.version = c.Version
 	e.healthPaths = c.HealthPaths
@@ -31,22 +31,13 @@
 	}
 	routes := make(map[netip.AddrPort]*route, len(c.Routes))
 	for _, configured := range c.Routes {
-		r := &route{Route: configured, allowedServices: make(map[string]struct{}), typical: &typicalAnswer{}}
+		r := &route{Route: configured, typical: &typicalAnswer{}}
 		if old := e.routes[configured.Address]; old != nil {
-			r.allowedServices, r.typical = old.allowedServices, old.typical
-		}
-		for _, share := range configured.Shares {
-			r.allowedServices[share.Service] = struct{}{}
+			r.typical = old.typical
 		}
 		routes[configured.Address] = r
-		delete(e.removedRoutes, configured.Address)
 	}
 	markSheddable(routes)
-	for address := range e.routes {
-		if _, kept := routes[address]; !kept {
-			e.removedRoutes[address] = struct{}{}
-		}
-	}
 	e.routes = routes
 }
 
