--- a/internal/catalog/evacuation.go
+++ b/internal/catalog/evacuation.go
@@ -248,6 +248,7 @@
 // expireEvacuations accepts what the store has said for outdatedRecordLimit, and deletes
 // the tombstones of requests that were removed more than DepartedRetention ago.
 func (c *Catalog) expireEvacuations(now time.Time) {
+	retained := c.retainedSince(now)
 	for name, e := range c.evacuations {
 		switch {
 		case e.overrides():
@@ -256,7 +257,7 @@
 				e.since, e.changedAt, e.keptSince, e.settled = now, now, time.Time{}, true
 				c.recordEvacuationChange(e)
 			}
-		case !e.requested && now.Sub(e.changedAt) > DepartedRetention:
+		case !e.requested && e.changedAt.Before(retained):
 			c.compactedPosition = laterOf(c.compactedPosition, e.position)
 			delete(c.evacuations, name)
 		}
--- a/internal/catalog/listing.go
+++ b/internal/catalog/listing.go
@@ -26,6 +26,10 @@
 	peerKey   bool
 	// evacuations are the data centres with a request in the store.
 	evacuations map[string]struct{}
+	// configured is the position of the configuration in the pages, and history what the
+	// source knows of earlier ones.
+	configured Position
+	history    *History
 }
 
 // BeginListing starts a new listing and discards an unfinished one.
@@ -71,6 +75,10 @@
 	l := c.listing
 	c.recordContact(now, page.Age)
 	c.sourcePosition = l.position
+	if page.History != nil {
+		l.history = page.History
+		c.mergeFormer(now, page.History)
+	}
 	for i := range page.Changes {
 		change := &page.Changes[i]
 		switch {
@@ -89,6 +97,9 @@
 		if r := change.Evacuation; r != nil && change.Override == r.Withdrawn {
 			l.evacuations[r.DataCentre] = struct{}{}
 		}
+		if change.Configuration != nil {
+			l.configured = change.Position
+		}
 		c.applyChange(now, change)
 	}
 	if page.Next == "" {
@@ -119,6 +130,7 @@
 	if !l.peerKey {
 		c.losePeerKey(l.position)
 	}
+	c.mergeListingHistory(now, l)
 	c.position = laterOf(c.position, l.position)
 	// Removals before the listing are unknown, so a host at an older position needs a
 	// listing as well.
--- a/internal/flow/echo/harness_test.go
+++ b/internal/flow/echo/harness_test.go
@@ -31,11 +31,15 @@
 	engine    *Engine
 	upstreams []catalog.Entry
 	routes    []catalog.Route
+	version   uint64
 	// evacuations are the data centres that are evacuated.
 	evacuations []catalog.Evacuation
-	version     uint64
-	events      []Event
-	flowCount   int
+	// configuration is the last one that was applied, and former what those before it had.
+	configuration     *catalog.Configuration
+	former            *catalog.FormerServices
+	historyCompleteAt time.Time
+	events            []Event
+	flowCount         int
 	// otherServiceFlow is the flow that completeOtherServiceRequest uses.
 	otherServiceFlow *testFlow
 }
@@ -60,14 +64,25 @@
 	}}
 }
 
-// applyView passes the harness's configuration and upstreams to its engine.
+// applyView passes the harness's configuration and upstreams to its engine, together with
+// the services that earlier configurations had.
 func (h *harness) applyView() {
+	configuration := &catalog.Configuration{Version: h.version, Routes: h.routes, IdleTimeout: 15 * time.Second}
+	if h.configuration != nil {
+		h.former = h.former.With(nil, h.configuration, configuration)
+	}
+	h.configuration = configuration
 	h.engine.SetView(h.now, catalog.View{
-		Configuration: &catalog.Configuration{Version: h.version, Routes: h.routes, IdleTimeout: 15 * time.Second},
-		Upstreams:     h.upstreams, Evacuations: h.evacuations,
+		Configuration: configuration, Upstreams: h.upstreams, Evacuations: h.evacuations, Former: h.former, HistoryCompleteAt: h.historyCompleteAt,
 	})
 }
 
+// restart replaces the engine by one of a host that has just started with the same view.
+func (h *harness) restart() {
+	h.engine = New(Options{DataCentre: localDC, Seed: 99})
+	h.applyView()
+}
+
 // updateUpstream changes the upstream with the given number and applies the view.
 func (h *harness) updateUpstream(number int, edit func(*catalog.Entry)) {
 	for i := range h.upstreams {
