--- a/internal/catalog/evacuation.go
+++ b/internal/catalog/evacuation.go
@@ -175,6 +175,13 @@
 	c.keepEvacuation(now, e, position, now.Add(-r.KeptFor))
 }
 
+// storedEvacuation returns what the store has instead of the override. It replaces the
+// overrides of a snapshot, which may have ended long ago; hosts that still keep them tell it.
+func storedEvacuation(override *Change) *Change {
+	r := override.Evacuation
+	return &Change{Position: override.Position, Evacuation: &EvacuationRecord{DataCentre: r.DataCentre, Withdrawn: !r.Withdrawn}}
+}
+
 // setEvacuation puts the request or its removal in force.
 func (c *Catalog) setEvacuation(now time.Time, e *evacuationEntry, requested bool, position Position, age time.Duration) {
 	changed := e.requested != requested
--- a/internal/catalog/evacuation_test.go
+++ b/internal/catalog/evacuation_test.go
@@ -319,3 +319,20 @@
 		o.inForce[name] = requested
 	}
 }
+
+// TestOverridesOfASnapshotHaveEnded guards against a host that starts from an old snapshot and
+// keeps what other hosts kept after a restore, long after these have accepted the copy.
+func TestOverridesOfASnapshotHaveEnded(t *testing.T) {
+	g := NewWithT(t)
+	c, started := New(Options{}), New(Options{})
+	applyListing(c, start, 80, evacuate(at(30), "removed"), evacuate(at(60), "lost"))
+	c.Apply(start, Update{Position: at(81), Changes: []Change{withdraw(at(81), "removed")}})
+	listRestored(c, start, restored(40), evacuate(restored(30), "removed"))
+	g.Expect(evacuated(c)).To(Equal([]string{"lost"}))
+	page := c.Snapshot(start)
+	page.Unconfirmed = true
+	started.BeginListing()
+	g.Expect(started.AddPage(start.Add(time.Hour), page)).To(Succeed())
+	g.Expect(evacuated(started)).To(Equal([]string{"removed"}))
+	g.Expect(started.Have().Overrides).To(BeZero())
+}
--- a/internal/catalog/listing.go
+++ b/internal/catalog/listing.go
@@ -73,6 +73,9 @@
 	c.sourcePosition = l.position
 	for i := range page.Changes {
 		change := &page.Changes[i]
+		if page.Unconfirmed && change.Override && change.Evacuation != nil {
+			change = storedEvacuation(change)
+		}
 		switch {
 		case change.Upstream != nil:
 			l.upstreams[change.Upstream.Name] = struct{}{}
--- a/internal/catalogrpc/messages.go
+++ b/internal/catalogrpc/messages.go
@@ -9,8 +9,10 @@
 	"github.com/oatlatch/oatlatch/internal/catalog"
 )
 
-// ServiceName is the net/rpc name of Service.
-const ServiceName = "Catalog"
+// ServiceName is the net/rpc name of Service. Its number changes when hosts of earlier
+// builds would not relay all that this build needs, such as evacuations: hosts then read the
+// store instead of each other during an upgrade.
+const ServiceName = "Catalog2"
 
 // ListArgs are the arguments of Service.List.
 type ListArgs struct{}
--- a/internal/edge/host.go
+++ b/internal/edge/host.go
@@ -91,7 +91,7 @@
 		Logger: options.Logger, Metrics: feedMetrics, Now: options.Now, Seed: options.Seed,
 	})
 	h.peers.catalog, h.snapshots.catalog = h.feed, h.feed
-	h.seeding = &seeding{logger: options.Logger, apply: h.serveView, requireCurrent: h.feed.RequireCurrent}
+	h.seeding = &seeding{logger: options.Logger, now: options.Now, apply: h.serveView, requireCurrent: h.feed.RequireCurrent}
 	h.forwarder, err = forward.NewEchoForwarder(forward.EchoForwarderOptions{
 		Listen: s.Listen.Packet, CallerPort: s.Listen.Packet.Port(), Codec: options.Codec, Engine: h.engine,
 		Logger: options.Logger, Registerer: h.registry, Now: options.Now, Started: options.Started,
--- a/internal/edge/seeding.go
+++ b/internal/edge/seeding.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -21,6 +22,8 @@
 // callers, is neither relayed nor written, and gives way to the first view from elsewhere.
 type seeding struct {
 	logger zerolog.Logger
+	// now returns the current time.
+	now func() time.Time
 	// apply makes a view the one in force.
 	apply func(catalog.View)
 	// requireCurrent makes the first listing of the store one that is not stale.
@@ -29,17 +32,22 @@
 	mu sync.Mutex
 	// version is the version of the configuration of the seed; zero if none is in force.
 	version uint64
+	// evacuations are those of the seed, at its position.
+	evacuations []catalog.Evacuation
+	position    catalog.Position
 	// ended is set once a view from elsewhere is in force.
 	ended bool
 }
 
 // admit reports whether a view from elsewhere than a seed may be put in force. One that may
-// be out of date, and has an older configuration than the seed's, must be confirmed first,
-// so that no configuration reverts because a snapshot or a stale listing is old.
+// be out of date must be confirmed first if it has an older configuration than the seed's, or
+// is older and differs in what is evacuated, so that nothing reverts because a snapshot or a
+// stale listing is old.
 func (s *seeding) admit(view *catalog.View) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if view.Partial && view.Configuration.Version < s.version {
+	older := view.Configuration.Version < s.version || s.position.After(view.Position) && !sameEvacuations(view.Evacuations, s.evacuations)
+	if view.Partial && older {
 		return false
 	}
 	s.ended = true
@@ -72,7 +80,7 @@
 func (s *seeding) serve(page *catalog.Page, from netip.AddrPort) {
 	c := catalog.New(catalog.Options{})
 	c.BeginListing()
-	if err := c.AddPage(time.Time{}, *page); err != nil {
+	if err := c.AddPage(s.now(), *page); err != nil {
 		s.logger.Info().Err(err).Msg("seeds_not_used")
 		return
 	}
@@ -86,9 +94,14 @@
 	if s.ended {
 		return
 	}
-	s.version = view.Configuration.Version
+	s.version, s.evacuations, s.position = view.Configuration.Version, view.Evacuations, view.Position
 	s.requireCurrent()
 	s.logger.Info().Stringer("seed", from).Uint64("version", s.version).Int("upstreams", len(view.Upstreams)).
 		Uint64("epoch", page.Position.Epoch).Uint64("position", page.Position.Revision).Dur("age_ms", page.Age).Msg("seed_used")
 	s.apply(view)
 }
+
+// sameEvacuations reports whether both lists name the same data centres. They are sorted.
+func sameEvacuations(a, b []catalog.Evacuation) bool {
+	return slices.EqualFunc(a, b, func(x, y catalog.Evacuation) bool { return x.DataCentre == y.DataCentre })
+}
--- a/internal/edge/seeding_test.go
+++ b/internal/edge/seeding_test.go
@@ -3,6 +3,7 @@
 import (
 	"net/netip"
 	"testing"
+	"time"
 
 	. "github.com/onsi/gomega"
 	"github.com/rs/zerolog"
@@ -14,7 +15,7 @@
 func newTestSeeding() (*seeding, *[]uint64) {
 	var versions []uint64
 	return &seeding{
-		logger: zerolog.Nop(), requireCurrent: func() {},
+		logger: zerolog.Nop(), now: func() time.Time { return time.Unix(1_000_000, 0) }, requireCurrent: func() {},
 		apply: func(v catalog.View) { versions = append(versions, v.Configuration.Version) },
 	}, &versions
 }
@@ -49,6 +50,22 @@
 		s.serve(seedPage(9), netip.AddrPort{})
 		g.Expect(*applied).To(Equal([]uint64{7}))
 	})
+	t.Run("an old snapshot differs in what is evacuated", func(t *testing.T) {
+		g := NewWithT(t)
+		s, _ := newTestSeeding()
+		page := seedPage(7)
+		page.Changes = append(page.Changes, catalog.Change{Position: at(4), Evacuation: &catalog.EvacuationRecord{DataCentre: "quay-a"}})
+		s.serve(page, netip.AddrPort{})
+		older := view(7, true)
+		older.Position = at(8)
+		g.Expect(s.admit(older)).To(BeFalse(), "the request would be forgotten until the store answers")
+		older.Evacuations = []catalog.Evacuation{{DataCentre: "quay-a"}}
+		g.Expect(s.admit(older)).To(BeTrue())
+		later := view(7, true)
+		later.Position = at(10)
+		s.serve(page, netip.AddrPort{})
+		g.Expect(s.admit(later)).To(BeTrue())
+	})
 	t.Run("a seed tells a version that does not exist", func(t *testing.T) {
 		g := NewWithT(t)
 		s, _ := newTestSeeding()
--- a/internal/seed/page.go
+++ b/internal/seed/page.go
@@ -1,5 +1,5 @@
 // Package seed lets a host that starts while the platform's store does not answer learn
-// routes and upstreams from another host. Neither host can authenticate the other, since
+// routes, upstreams and evacuations from another host. Neither host can authenticate the other, since
 // the peer key is in the store, so a page from a seed holds no secret and is believed only
 // until the store answers.
 package seed
@@ -7,23 +7,31 @@
 import (
 	"errors"
 	"fmt"
+	"unicode/utf8"
 
 	"github.com/oatlatch/oatlatch/internal/catalog"
 	"github.com/oatlatch/oatlatch/internal/gobpack"
 )
 
-// maxPageBytes limits the size of a packed page.
-const maxPageBytes = 1 << 20
+const (
+	// maxPageBytes limits the size of a packed page.
+	maxPageBytes = 1 << 20
+	// maxEvacuations limits the evacuations of a page, and maxNameBytes the length of the
+	// name of a data centre in them. A seed is not authentic, and each evacuation becomes a
+	// metric. A deployment has less than ten data centres.
+	maxEvacuations = 64
+	maxNameBytes   = 255
+)
 
 // ErrInvalid means that the answer of a seed cannot be used.
 var ErrInvalid = errors.New("not a page of an entry host: ask another seed")
 
-// encode packs what a host that starts may learn from the page: the configuration and the
-// upstreams.
+// encode packs what a host that starts may learn from the page: the configuration, the
+// upstreams and the evacuations in force.
 func encode(page *catalog.Page) ([]byte, error) {
 	shared := catalog.Page{Position: page.Position, Age: page.Age}
 	for i := range page.Changes {
-		if c := &page.Changes[i]; c.Configuration != nil || c.Upstream != nil {
+		if c := &page.Changes[i]; c.Configuration != nil || c.Upstream != nil || c.Evacuation != nil && !c.Evacuation.Withdrawn {
 			shared.Changes = append(shared.Changes, *c)
 		}
 	}
@@ -37,7 +45,7 @@
 		return catalog.Page{}, fmt.Errorf("%w: %w", ErrInvalid, err)
 	}
 	allowed := catalog.Page{Position: page.Position, Age: page.Age, Unconfirmed: true}
-	configured := false
+	configured, evacuations := false, 0
 	for i := range page.Changes {
 		change := &page.Changes[i]
 		switch {
@@ -46,6 +54,12 @@
 			allowed.Changes = append(allowed.Changes, catalog.Change{Position: change.Position, Configuration: change.Configuration})
 		case change.Upstream != nil && change.Upstream.ID != 0 && change.Upstream.Slots > 0:
 			allowed.Changes = append(allowed.Changes, catalog.Change{Position: change.Position, Upstream: change.Upstream})
+		case change.Evacuation != nil && validEvacuation(change.Evacuation) && evacuations < maxEvacuations:
+			evacuations++
+			allowed.Changes = append(allowed.Changes, catalog.Change{
+				Position:   change.Position,
+				Evacuation: &catalog.EvacuationRecord{DataCentre: change.Evacuation.DataCentre, Age: max(0, change.Evacuation.Age)},
+			})
 		}
 	}
 	if !configured || page.Position.Revision == 0 {
@@ -53,3 +67,9 @@
 	}
 	return allowed, nil
 }
+
+// validEvacuation reports whether the record is a request with a name that the store may
+// have.
+func validEvacuation(r *catalog.EvacuationRecord) bool {
+	return !r.Withdrawn && r.DataCentre != "" && len(r.DataCentre) <= maxNameBytes && utf8.ValidString(r.DataCentre)
+}
--- a/internal/seed/seed_test.go
+++ b/internal/seed/seed_test.go
@@ -38,6 +38,8 @@
 		{Position: at(3), Upstream: &catalog.Upstream{ID: 1, Name: "i-1", Service: "desk", Slots: 2}},
 		{Position: at(4), Host: &catalog.Host{Name: "h"}},
 		{Position: at(5), Removed: "i-2"},
+		{Position: at(6), Evacuation: &catalog.EvacuationRecord{DataCentre: "quay-a", Age: time.Minute}},
+		{Position: at(7), Evacuation: &catalog.EvacuationRecord{DataCentre: "quay-b", Withdrawn: true}},
 	}}
 }
 
@@ -53,7 +55,9 @@
 	return startSeed(t, NewServer(testCatalog{page}, time.Now))
 }
 
-func TestSeedTellsRoutesAndUpstreamsOnly(t *testing.T) {
+// TestSeedTellsOnlyWhatIsNeededToServe guards against secrets in a seed's page, and against a
+// page without the evacuations in force.
+func TestSeedTellsOnlyWhatIsNeededToServe(t *testing.T) {
 	g := NewWithT(t)
 	address := newSeed(t, wholePage())
 	page, from, err := Ask(context.Background(), []netip.AddrPort{address})
@@ -61,9 +65,10 @@
 	g.Expect(from).To(Equal(address))
 	g.Expect(page.Position).To(Equal(at(9)))
 	g.Expect(page.Unconfirmed).To(BeTrue())
-	g.Expect(page.Changes).To(HaveLen(2))
+	g.Expect(page.Changes).To(HaveLen(3))
 	g.Expect(page.Changes[0].Configuration.Version).To(BeEquivalentTo(7))
 	g.Expect(page.Changes[1].Upstream.Name).To(Equal("i-1"))
+	g.Expect(page.Changes[2]).To(Equal(catalog.Change{Position: at(6), Evacuation: &catalog.EvacuationRecord{DataCentre: "quay-a", Age: time.Minute}}))
 	packed, err := encode(wholePage())
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(bytes.Contains(packed, secret)).To(BeFalse())
@@ -111,6 +116,25 @@
 	})
 }
 
+// TestEvacuationsOfABadSeed guards against names that no store has, from a seed that is not
+// authentic: metrics and logs would not bear them.
+func TestEvacuationsOfABadSeed(t *testing.T) {
+	g := NewWithT(t)
+	page := wholePage()
+	page.Changes = page.Changes[1:2]
+	for _, name := range []string{"", "\xff", strings.Repeat("x", maxNameBytes+1)} {
+		page.Changes = append(page.Changes, catalog.Change{Position: at(5), Evacuation: &catalog.EvacuationRecord{DataCentre: name}})
+	}
+	for i := range 2 * maxEvacuations {
+		page.Changes = append(page.Changes, catalog.Change{Position: at(5), Evacuation: &catalog.EvacuationRecord{DataCentre: strings.Repeat("y", i+1)}})
+	}
+	packed, err := gobpack.Pack(page)
+	g.Expect(err).NotTo(HaveOccurred())
+	decoded, err := decode(packed)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(decoded.Changes).To(HaveLen(1 + maxEvacuations))
+}
+
 // TestSeedLimitsItsAnswers bounds what a seed sends when many hosts start at once.
 func TestSeedLimitsItsAnswers(t *testing.T) {
 	g := NewWithT(t)
@@ -153,7 +177,7 @@
 			return
 		}
 		for i := range page.Changes {
-			if c := &page.Changes[i]; c.Configuration == nil && c.Upstream == nil || c.PeerKey != nil || c.Host != nil {
+			if c := &page.Changes[i]; c.Configuration == nil && c.Upstream == nil && c.Evacuation == nil || c.PeerKey != nil || c.Host != nil {
 				t.Errorf("accepted %+v", c)
 			}
 		}
--- a/internal/snapshot/snapshot.go
+++ b/internal/snapshot/snapshot.go
@@ -20,7 +20,8 @@
 // the configuration version, an HMAC of all other bytes, and a catalog.Page encoded by
 // gobpack.Pack.
 const (
-	format         = 2
+	// format changes when earlier builds leave out what this one needs, such as evacuations.
+	format         = 3
 	epochOffset    = 1
 	revisionOffset = 9
 	versionOffset  = 17
