catalog: random test of evacuations with sources that are behind and pauses

Cause: the random test of the catalog never reads a source that is behind, and never runs for longer than the retention of tombstones, so two rules of evacuations could be taken out without its noticing: a request from a source that is behind is ignored, and deleted tombstones count in compactedPosition.

Change: steps for both. The oracle forgets removals after the retention, as the catalog does. Two conditions of the merge that no history needs are gone: the origin of a write of the new epoch is later than that of any override, and a complete page of a host that is behind holds what is still in force.

--- a/internal/catalog/consistency_test.go
+++ b/internal/catalog/consistency_test.go
@@ -258,6 +258,19 @@
 	return &witness{catalog: New(Options{}), ended: make(map[string]RecordID), evacuations: newEvacuationOracle()}
 }
 
+// forgetRemovals forgets the removals that a catalog no longer knows after a pause.
+func (w *witness) forgetRemovals(pause time.Duration) {
+	if pause < DepartedRetention {
+		return
+	}
+	clear(w.ended)
+	for dataCentre, requested := range w.evacuations.inForce {
+		if !requested {
+			delete(w.evacuations.last, dataCentre)
+		}
+	}
+}
+
 // check reports what the catalog must not do after any step.
 func (w *witness) check(t *rapid.T, store *fakeStore) {
 	w.evacuations.check(t, w.catalog, store.evacuationWrites)
@@ -305,7 +318,7 @@
 			now = now.Add(time.Duration(rapid.IntRange(0, 500).Draw(t, "ms")) * time.Millisecond)
 			i := rapid.IntRange(0, len(witnesses)-1).Draw(t, "catalog")
 			c, parent := witnesses[i].catalog, witnesses[(i+1)%len(witnesses)].catalog
-			switch rapid.SampledFrom([]string{"change", "change", "read", "list", "relay", "relay-all", "start"}).Draw(t, "step") {
+			switch rapid.SampledFrom([]string{"change", "change", "read", "list", "relay", "relay-all", "evacuations", "pause", "start"}).Draw(t, "step") {
 			case "change":
 				store.applyRandomChange(t)
 			case "read":
@@ -316,6 +329,22 @@
 				if !follow(c, parent, now) {
 					t.Fatal("the update could not be merged into the catalog that it was made for")
 				}
+			case "evacuations":
+				// The answer of a source that is behind, as after a change of sources.
+				if parent.Complete() && !parent.Position().After(c.Position()) {
+					c.Apply(now, Update{Position: parent.Position(), Changes: parent.evacuationChanges(now, Have{})})
+				}
+			case "pause":
+				// Nothing is read for so long that tombstones and overrides end.
+				if rapid.IntRange(0, 3).Draw(t, "long") == 0 {
+					pause := rapid.SampledFrom([]time.Duration{outdatedRecordLimit, DepartedRetention}).Draw(t, "pause")
+					now = now.Add(pause + time.Second)
+					for _, w := range witnesses {
+						w.catalog.expireEntries(now)
+						w.check(t, store)
+						w.forgetRemovals(pause)
+					}
+				}
 			case "start":
 				if rapid.IntRange(0, 3).Draw(t, "restart") == 0 {
 					witnesses[i] = newWitness()
--- a/internal/catalog/evacuation.go
+++ b/internal/catalog/evacuation.go
@@ -161,7 +161,7 @@
 // position of the change, says the opposite.
 func (c *Catalog) mergeEvacuationOverride(now time.Time, e *evacuationEntry, change *Change) {
 	r, position := change.Evacuation, change.Position
-	if r.KeptFor >= outdatedRecordLimit || e.settled || e.position.After(position) || e.afterRestore && e.position == position {
+	if r.KeptFor >= outdatedRecordLimit || e.settled || e.position.After(position) {
 		return
 	}
 	if e.requested == r.Withdrawn {
@@ -236,7 +236,7 @@
 // request that was known before a restore is kept: the copy may be from before it.
 func (c *Catalog) finishEvacuationListing(now time.Time, l *listing) {
 	for _, e := range c.evacuations {
-		if _, listed := l.evacuations[e.dataCentre]; listed || e.position.After(l.position) || c.position.After(l.position) {
+		if _, listed := l.evacuations[e.dataCentre]; listed || e.position.After(l.position) {
 			continue
 		}
 		switch {
