--- a/internal/catalogrpc/catalogrpc_test.go
+++ b/internal/catalogrpc/catalogrpc_test.go
@@ -98,11 +98,13 @@
 	c.page = catalog.Page{Position: at(9), Age: time.Second, Changes: []catalog.Change{
 		{Position: at(3), Configuration: &catalog.Configuration{Version: 4, Routes: []catalog.Route{{Name: "r", Address: loopback, Shares: []catalog.Share{{Service: "s", Weight: 1}}}}}},
 		{Position: at(8), Upstream: &catalog.Upstream{ID: 5, Name: "i-5", Address: loopback, RecordID: catalog.RecordID{Started: time.UnixMilli(77)}}},
+		{Position: at(9), Override: true, Evacuation: &catalog.EvacuationRecord{DataCentre: "quay-a", Withdrawn: true, Age: time.Minute, Origin: at(7), KeptFor: time.Second}},
 	}}
 	page, err := source.List(ctx, "", true)
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(page.Changes[0].Configuration).To(Equal(c.page.Changes[0].Configuration))
 	g.Expect(page.Changes[1].Upstream.Started.Equal(time.UnixMilli(77))).To(BeTrue())
+	g.Expect(page.Changes[2]).To(Equal(c.page.Changes[2]))
 	g.Expect(page.Age).To(Equal(time.Second))
 }
 
--- a/internal/flow/echo/detail.go
+++ b/internal/flow/echo/detail.go
@@ -16,11 +16,11 @@
 	ViewAge time.Duration
 	// Upstream is the name of the upstream chosen for a new flow. For an existing flow
 	// that is reset or moved to another upstream, it is the name of the previous one.
-	// DataCentre, Presence, Draining and Suspected are the data centre and state of the
-	// named upstream.
-	Upstream, DataCentre string
-	Presence             catalog.Presence
-	Draining, Suspected  bool
+	// DataCentre, Presence, Draining, Suspected and Evacuated are the data centre and state
+	// of the named upstream.
+	Upstream, DataCentre           string
+	Presence                       catalog.Presence
+	Draining, Suspected, Evacuated bool
 	// Outstanding and OpenFlows are the numbers of this host's outstanding requests
 	// and open flows at the upstream. Slots is the number of requests that the upstream
 	// processes concurrently.
@@ -51,6 +51,7 @@
 	if u != nil {
 		d.Detail.Upstream, d.Detail.DataCentre = u.Name, u.DataCentre
 		d.Detail.Presence, d.Detail.Draining, d.Detail.Suspected = u.Presence, u.Draining, u.suspected()
+		d.Detail.Evacuated = u.evacuated
 		d.Detail.Outstanding, d.Detail.OpenFlows, d.Detail.Slots = u.outstanding, u.openFlows, u.Slots
 		d.Detail.SinceLastAnswer = timeSince(now, u.lastAnswer)
 	}
--- a/internal/flow/echo/evacuation_test.go
+++ b/internal/flow/echo/evacuation_test.go
@@ -124,6 +124,9 @@
 				return
 			}
 			h.expectDecision(d, Forward, OpenedElsewhere)
+			if !d.Detail.Evacuated || d.Detail.Upstream != "i-00000001" {
+				t.Errorf("the decision does not tell why: %+v", d.Detail)
+			}
 			if got := h.dataCentreOf(d); got != remoteDC {
 				t.Errorf("the copy went to %s", got)
 			}
--- a/internal/forward/echo_log.go
+++ b/internal/forward/echo_log.go
@@ -46,6 +46,9 @@
 			Bool("draining", detail.Draining).Bool("suspected", detail.Suspected).
 			Int("waiting", detail.Outstanding).Int("slots", detail.Slots).Int("open", detail.OpenFlows).Dur("silent_ms", detail.SinceLastAnswer)
 	}
+	if detail.Evacuated {
+		line = line.Bool("evacuated", true)
+	}
 	if d.Reason == echo.Overloaded {
 		line = line.Dur("work_ms", detail.ProcessingTime).Float64("slow_answers", detail.SlowFraction)
 	}
