seed, catalog: a kept request from a seed; what proves a write after a restore

Cause: a seed that keeps a request which the store lost in a restore told it without a revision, and the host that started ignored it. A listing that was begun and never read made each later change look written since the restore.

Change: the seed's request counts from the position of its page. What was complete before an answer is noted when the answer is merged.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -150,7 +150,7 @@
 	}
 	c.recordContact(now, update.Age)
 	complete := true
-	c.sourcePosition = update.Position
+	c.sourcePosition, c.completeTo = update.Position, c.position
 	for i := range update.Changes {
 		complete = c.applyChange(now, &update.Changes[i]) && complete
 	}
--- a/internal/catalog/evacuation.go
+++ b/internal/catalog/evacuation.go
@@ -77,8 +77,10 @@
 // evacuationState is what a catalog knows of evacuations.
 type evacuationState struct {
 	evacuations map[string]*evacuationEntry
-	// sourcePosition is the position of the answer that is being merged.
-	sourcePosition Position
+	// sourcePosition is the position of the answer that is being merged, and completeTo the
+	// one up to which the catalog, or the listing that is being merged, was complete before
+	// it; zero if it was not.
+	sourcePosition, completeTo Position
 }
 
 // evacuationOverrides returns the number of data centres of which the catalog knows more
@@ -142,10 +144,7 @@
 // written since the last restore: the copy has nothing after a position up to which the
 // catalog was complete in this epoch.
 func (c *Catalog) writtenAfterRestore(position Position) bool {
-	if c.listing != nil {
-		return position.After(c.listing.position)
-	}
-	return c.Complete() && position.After(c.position)
+	return c.completeTo.Revision != 0 && position.After(c.completeTo)
 }
 
 // newerThan reports whether the record, which the store has at the position and which may
--- a/internal/catalog/evacuation_test.go
+++ b/internal/catalog/evacuation_test.go
@@ -336,3 +336,16 @@
 	g.Expect(evacuated(started)).To(Equal([]string{"removed"}))
 	g.Expect(started.Have().Overrides).To(BeZero())
 }
+
+// TestUnfinishedListingProvesNothing guards against a change that counts as written since a
+// restore because a listing was begun before it and never read.
+func TestUnfinishedListingProvesNothing(t *testing.T) {
+	g := NewWithT(t)
+	c := New(Options{})
+	applyListing(c, start, 30)
+	c.BeginListing()
+	c.Apply(start, Update{Position: at(30), Changes: []Change{evacuate(at(20), "a")}})
+	g.Expect(c.evacuations["a"].afterRestore).To(BeFalse())
+	c.Apply(start, Update{Position: at(31), Changes: []Change{evacuate(at(31), "a")}})
+	g.Expect(c.evacuations["a"].afterRestore).To(BeTrue())
+}
--- a/internal/catalog/listing.go
+++ b/internal/catalog/listing.go
@@ -70,7 +70,7 @@
 func (c *Catalog) mergePage(now time.Time, page *Page) {
 	l := c.listing
 	c.recordContact(now, page.Age)
-	c.sourcePosition = l.position
+	c.sourcePosition, c.completeTo = l.position, l.position
 	for i := range page.Changes {
 		change := &page.Changes[i]
 		if page.Unconfirmed && change.Override && change.Evacuation != nil {
--- a/internal/seed/page.go
+++ b/internal/seed/page.go
@@ -56,8 +56,13 @@
 			allowed.Changes = append(allowed.Changes, catalog.Change{Position: change.Position, Upstream: change.Upstream})
 		case change.Evacuation != nil && validEvacuation(change.Evacuation) && evacuations < maxEvacuations:
 			evacuations++
+			position := change.Position
+			if position.Revision == 0 {
+				// The seed keeps a request that the store has lost.
+				position = page.Position
+			}
 			allowed.Changes = append(allowed.Changes, catalog.Change{
-				Position:   change.Position,
+				Position:   position,
 				Evacuation: &catalog.EvacuationRecord{DataCentre: change.Evacuation.DataCentre, Age: max(0, change.Evacuation.Age)},
 			})
 		}
--- a/internal/seed/seed_test.go
+++ b/internal/seed/seed_test.go
@@ -135,6 +135,23 @@
 	g.Expect(decoded.Changes).To(HaveLen(1 + maxEvacuations))
 }
 
+// TestSeedTellsAKeptRequest guards against a request that a seed keeps after a restore of the
+// store, and that the host which starts ignores because the store has no position for it.
+func TestSeedTellsAKeptRequest(t *testing.T) {
+	g := NewWithT(t)
+	page := wholePage()
+	page.Changes = append(page.Changes[1:2], catalog.Change{Override: true, Evacuation: &catalog.EvacuationRecord{DataCentre: "quay-a", Origin: at(8)}})
+	packed, err := encode(page)
+	g.Expect(err).NotTo(HaveOccurred())
+	decoded, err := decode(packed)
+	g.Expect(err).NotTo(HaveOccurred())
+	c := catalog.New(catalog.Options{})
+	c.BeginListing()
+	g.Expect(c.AddPage(time.Unix(1, 0), decoded)).To(Succeed())
+	view, _ := c.TakeView()
+	g.Expect(view.Evacuations).To(HaveLen(1))
+}
+
 // TestSeedLimitsItsAnswers bounds what a seed sends when many hosts start at once.
 func TestSeedLimitsItsAnswers(t *testing.T) {
 	g := NewWithT(t)
