--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -162,7 +162,7 @@
 		return false
 	}
 	c.recordContact(now, update.Age)
-	c.sourcePosition = update.Position
+	c.sourcePosition, c.completeTo = update.Position, c.position
 	c.mergeFormer(now, update.History)
 	previous, complete := c.position, true
 	for i := range update.Changes {
--- a/internal/catalog/evacuation.go
+++ b/internal/catalog/evacuation.go
@@ -77,8 +77,10 @@
 // evacuationState is what a catalog knows of evacuations.
 type evacuationState struct {
 	evacuations map[string]*evacuationEntry
-	// sourcePosition is the position of the answer that is being merged.
-	sourcePosition Position
+	// sourcePosition is the position of the answer that is being merged, and completeTo the
+	// one up to which the catalog, or the listing that is being merged, was complete before
+	// it; zero if it was not.
+	sourcePosition, completeTo Position
 }
 
 // evacuationOverrides returns the number of data centres of which the catalog knows more
@@ -142,10 +144,7 @@
 // written since the last restore: the copy has nothing after a position up to which the
 // catalog was complete in this epoch.
 func (c *Catalog) writtenAfterRestore(position Position) bool {
-	if c.listing != nil {
-		return position.After(c.listing.position)
-	}
-	return c.Complete() && position.After(c.position)
+	return c.completeTo.Revision != 0 && position.After(c.completeTo)
 }
 
 // newerThan reports whether the record, which the store has at the position and which may
@@ -161,7 +160,7 @@
 // position of the change, says the opposite.
 func (c *Catalog) mergeEvacuationOverride(now time.Time, e *evacuationEntry, change *Change) {
 	r, position := change.Evacuation, change.Position
-	if r.KeptFor >= outdatedRecordLimit || e.settled || e.position.After(position) || e.afterRestore && e.position == position {
+	if r.KeptFor >= outdatedRecordLimit || e.settled || e.position.After(position) {
 		return
 	}
 	if e.requested == r.Withdrawn {
@@ -175,6 +174,13 @@
 	c.keepEvacuation(now, e, position, now.Add(-r.KeptFor))
 }
 
+// storedEvacuation returns what the store has instead of the override. It replaces the
+// overrides of a snapshot, which may have ended long ago; hosts that still keep them tell it.
+func storedEvacuation(override *Change) *Change {
+	r := override.Evacuation
+	return &Change{Position: override.Position, Evacuation: &EvacuationRecord{DataCentre: r.DataCentre, Withdrawn: !r.Withdrawn}}
+}
+
 // setEvacuation puts the request or its removal in force.
 func (c *Catalog) setEvacuation(now time.Time, e *evacuationEntry, requested bool, position Position, age time.Duration) {
 	changed := e.requested != requested
@@ -229,7 +235,7 @@
 // request that was known before a restore is kept: the copy may be from before it.
 func (c *Catalog) finishEvacuationListing(now time.Time, l *listing) {
 	for _, e := range c.evacuations {
-		if _, listed := l.evacuations[e.dataCentre]; listed || e.position.After(l.position) || c.position.After(l.position) {
+		if _, listed := l.evacuations[e.dataCentre]; listed || e.position.After(l.position) {
 			continue
 		}
 		switch {
@@ -246,7 +252,7 @@
 }
 
 // expireEvacuations accepts what the store has said for outdatedRecordLimit, and deletes
-// the tombstones of requests that were removed more than DepartedRetention ago.
+// the tombstones of requests that were removed longer ago than the retention.
 func (c *Catalog) expireEvacuations(now time.Time) {
 	retained := c.retainedSince(now)
 	for name, e := range c.evacuations {
--- a/internal/catalog/listing.go
+++ b/internal/catalog/listing.go
@@ -74,13 +74,16 @@
 func (c *Catalog) mergePage(now time.Time, page *Page) {
 	l := c.listing
 	c.recordContact(now, page.Age)
-	c.sourcePosition = l.position
+	c.sourcePosition, c.completeTo = l.position, l.position
 	if page.History != nil {
 		l.history = page.History
 		c.mergeFormer(now, page.History)
 	}
 	for i := range page.Changes {
 		change := &page.Changes[i]
+		if page.Unconfirmed && change.Override && change.Evacuation != nil {
+			change = storedEvacuation(change)
+		}
 		switch {
 		case change.Upstream != nil:
 			l.upstreams[change.Upstream.Name] = struct{}{}
