echo: prefer the upstream with the fewest recent requests

Cause: new flows went to the upstream with the fewest outstanding requests of the host, and to a random one of several. Most flows stay open and pause, so nearly all upstreams have none outstanding when a flow arrives, and the numbers of long flows differ by chance for as long as the flows live.

Change: of equally used upstreams, LeastUsed takes the one with the fewest recent requests of this host for its slots (mechanism recent-requests, decay of 15 s). A new upstream, or one that could not be chosen before, starts with the mean of the others. The cost in which data centres compete is as before. The model counts requests run by each upstream, the time in which one is full while another idles, and requests that wait meanwhile; it has flows of limited length, an age of knowledge and the patterns swing and moving-callers.

--- a/internal/experiment/options.go
+++ b/internal/experiment/options.go
@@ -35,6 +35,12 @@
 	// the number of requests that it queues before it rejects further ones.
 	ServiceTime time.Duration
 	QueueSize   int
+	// FlowRequests is the mean number of requests on a flow that stays open. With 0 it stays
+	// open for the whole run.
+	FlowRequests int
+	// KnowledgeAge is the age of what hosts learn from each other under echo.SharedEstimates.
+	// With 0 they know it at once.
+	KnowledgeAge time.Duration
 	// Without holds the mechanisms that are switched off.
 	Without echo.MechanismSet
 	// Outage is how long the pattern power-loss stops all hosts. They start within
@@ -67,6 +73,8 @@
 		return fmt.Errorf("objective %s and timeout %s: the objective must be positive and at most the timeout", o.Objective, o.Timeout)
 	case o.ThinkTime < 0 || o.ThinkTime > maxThinkTime:
 		return fmt.Errorf("think time %s: use 0 to %s", o.ThinkTime, maxThinkTime)
+	case o.FlowRequests < 0 || o.KnowledgeAge < 0 || o.KnowledgeAge > maxKnowledgeAge:
+		return fmt.Errorf("%d requests of a flow and knowledge age %s: must not be negative, and the age at most %s", o.FlowRequests, o.KnowledgeAge, maxKnowledgeAge)
 	case o.ServiceTime <= 0 || o.ServiceTime > o.Timeout || o.QueueSize < 0 || o.QueueSize > maxQueueSize:
 		return fmt.Errorf("service time %s and queue of %d: use a time above 0 and at most the timeout, and a queue of 0 to %d", o.ServiceTime, o.QueueSize, maxQueueSize)
 	case o.Outage < 0 || o.StartSpread < 0 || o.StartDelay < 0 || o.Outage+o.StartSpread+o.StartDelay > maxOutage:
@@ -87,6 +95,7 @@
 	maxOutage        = 10 * time.Second
 	maxQueueSize     = 10_000
 	maxThinkTime     = time.Minute
+	maxKnowledgeAge  = 10 * time.Second
 )
 
 // Parameters of callers and upstreams.
--- a/internal/experiment/pattern.go
+++ b/internal/experiment/pattern.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"slices"
 	"time"
 
@@ -29,12 +30,21 @@
 	// readiness checks.
 	checkFailureTime = time.Second
 	flapOutage       = 1500 * time.Millisecond
+	// swingPeriod is the time in which the demand of a data centre rises and falls once, and
+	// swingAmplitude the largest difference from its mean, as a fraction of it.
+	swingPeriod    = 15 * time.Second
+	swingAmplitude = 0.5
+	// moveInterval is the time between two moves of callers, and one in movingFraction moves.
+	moveInterval   = 4 * time.Second
+	movingFraction = 3
 )
 
 // Patterns returns all patterns in the order in which they are listed.
 func Patterns() []Pattern {
 	return []Pattern{
 		{"steady", "normal load without faults", func(*simulation) {}},
+		{"swing", "the demand of each data centre rises and falls by half with a period of 15 s, out of phase with the others", swing},
+		{"moving-callers", "a third of the callers is in another data centre every few seconds", movingCallers},
 		{"burst", "1.7 times the normal load for six seconds", burst},
 		{"overload", "2.2 times the normal load for six seconds, more than all slots can serve", overload},
 		{"rolling-release", "upstreams are replaced by cold ones, one after the other", rollingRelease},
@@ -81,6 +91,7 @@
 	p.schedule(sim)
 	sim.runEvents()
 	result := sim.recorder.summarize(p.Name, policy.String())
+	result.Balance = sim.balance.summarize(sim)
 	for _, h := range sim.hosts {
 		result.Ejections += h.ejections
 	}
@@ -99,6 +110,27 @@
 	}
 }
 
+// swing changes the demand of the data centres in turn.
+func swing(sim *simulation) {
+	sim.demand = func(dc int, at time.Duration) float64 {
+		phase := float64(at)/float64(swingPeriod) + float64(dc)/float64(sim.options.DataCentres)
+		return 1 + swingAmplitude*math.Sin(2*math.Pi*phase)
+	}
+}
+
+// movingCallers moves callers to another data centre. Their open flows go on there.
+func movingCallers(sim *simulation) {
+	for at := moveInterval; at < sim.options.Duration; at += moveInterval {
+		sim.at(at, func() {
+			for i, c := range sim.callers {
+				if i%movingFraction == 0 {
+					c.dc = (c.dc + 1) % sim.options.DataCentres
+				}
+			}
+		})
+	}
+}
+
 func burst(sim *simulation) {
 	sim.at(patternStart, func() { sim.loadFactor = 1.7 })
 	sim.at(patternEnd, func() { sim.loadFactor = 1 })
--- a/internal/experiment/result.go
+++ b/internal/experiment/result.go
@@ -34,6 +34,8 @@
 	WorstWindow, WorstSite float64
 	// P50 and P99 are latency percentiles of the served requests.
 	P50, P99 time.Duration
+	// Balance tells how evenly the requests were distributed.
+	Balance Balance
 	// Windows are the windows with at least minWindowRequests requests, in order
 	// of time.
 	Windows []Window
--- a/internal/experiment/upstream.go
+++ b/internal/experiment/upstream.go
@@ -34,9 +34,10 @@
 	// unlisted if they leave it out.
 	departed, unlisted bool
 
-	// running is the number of slots in use.
-	running int
-	queue   []*request
+	// running is the number of slots in use, and completed the number of requests that
+	// have ended in the measured part of the run.
+	running, completed int
+	queue              []*request
 }
 
 // request is a request that a caller sends to an upstream.
@@ -110,6 +111,7 @@
 			return
 		}
 		u.queue = append(u.queue, r)
+		sim.balance.countWaiting(sim, u)
 		return
 	}
 	u.serve(r)
@@ -120,9 +122,12 @@
 func (u *upstreamNode) serve(r *request) {
 	sim := u.sim
 	u.running++
+	sim.balance.note(u, u.running-1)
 	serviceTime := time.Duration(float64(sim.logNormal(sim.options.ServiceTime, serviceTimeSigma)) * u.serviceTimeFactor(sim.now))
 	sim.after(serviceTime, func() {
 		u.running--
+		sim.balance.note(u, u.running+1)
+		sim.balance.countCompleted(sim, u)
 		if u.silent {
 			return
 		}
--- a/internal/flow/echo/choose.go
+++ b/internal/flow/echo/choose.go
@@ -75,11 +75,16 @@
 	}
 	candidates := e.candidates[:0]
 	for _, u := range p.upstreams {
-		if u != avoid && eligible(u) {
+		switch {
+		case u == avoid:
+		case eligible(u):
 			candidates = append(candidates, u)
+		default:
+			u.recent.away = true
 		}
 	}
 	e.candidates = candidates
+	e.welcome(now, candidates)
 	if e.options.Policy == TwoChoices && len(candidates) > 2 {
 		first, second := e.random.IntN(len(candidates)), e.random.IntN(len(candidates)-1)
 		if second >= first {
@@ -90,23 +95,53 @@
 	return e.lowestCost(now, candidates)
 }
 
-// lowestCost returns the candidate with the lowest cost, or nil if there are none.
-// Ties are broken at random.
+// lowestCost returns the candidate with the lowest cost, or nil if there are none. Of
+// several in the same data centre, or all in others, it returns the one with the fewest
+// recent requests for its slots. Other ties are broken at random.
 func (e *Engine) lowestCost(now time.Time, candidates []*upstream) *upstream {
-	var best *upstream
-	var lowest float64
-	ties := 0
+	var sides [2]cheapest
 	for _, u := range candidates {
-		cost := e.cost(now, u)
-		switch {
-		case best == nil || cost < lowest:
-			best, lowest, ties = u, cost, 1
-		case cost == lowest:
-			ties++
-			if e.random.IntN(ties) == 0 {
-				best = u
-			}
+		sides[u.side()].consider(e, u, e.cost(now, u), e.recentPerSlot(now, u))
+	}
+	local, remote := &sides[0], &sides[1]
+	switch {
+	case local.best == nil:
+		return remote.best
+	case remote.best == nil || local.cost < remote.cost:
+		return local.best
+	case local.cost == remote.cost && e.random.IntN(local.count+remote.count) < local.count:
+		return local.best
+	default:
+		return remote.best
+	}
+}
+
+// cheapest is the best of the candidates considered so far.
+type cheapest struct {
+	best         *upstream
+	cost, recent float64
+	// count is the number of candidates with the cost, and ties the number of those with
+	// the same number of recent requests too.
+	count, ties int
+}
+
+// consider adds a candidate with its cost and its recent requests for each slot.
+func (c *cheapest) consider(e *Engine, u *upstream, cost, recent float64) {
+	switch {
+	case c.best == nil || cost < c.cost:
+		*c = cheapest{best: u, cost: cost, recent: recent, count: 1, ties: 1}
+		return
+	case cost > c.cost:
+		return
+	}
+	c.count++
+	switch {
+	case recent < c.recent:
+		c.best, c.recent, c.ties = u, recent, 1
+	case recent == c.recent:
+		c.ties++
+		if e.random.IntN(c.ties) == 0 {
+			c.best = u
 		}
 	}
-	return best
 }
--- a/internal/flow/echo/choose_test.go
+++ b/internal/flow/echo/choose_test.go
@@ -19,6 +19,78 @@
 	g.Expect(counts).To(Equal(map[catalog.UpstreamID]int{1: 3, 2: 3}))
 }
 
+// TestPausingFlowsAreSpreadEvenly guards against upstreams that collect flows by chance: flows
+// that pause between requests have none outstanding when the next flow is placed.
+func TestPausingFlowsAreSpreadEvenly(t *testing.T) {
+	g := NewWithT(t)
+	h := newHarness(t, newEntry(1, localDC), newEntry(2, localDC), newEntry(3, localDC), newEntry(4, localDC))
+	open := func(n int) map[catalog.UpstreamID]int {
+		counts := make(map[catalog.UpstreamID]int)
+		for range n {
+			f := h.newFlow(watchAddress)
+			counts[f.open().Upstream]++
+			f.sendRequest()
+			h.advance(20 * time.Millisecond)
+			f.ackResponse()
+		}
+		return counts
+	}
+	g.Expect(open(40)).To(Equal(map[catalog.UpstreamID]int{1: 10, 2: 10, 3: 10, 4: 10}))
+	h.engine.options.Without = 1 << RecentRequests
+	g.Expect(open(400)).NotTo(Equal(map[catalog.UpstreamID]int{1: 100, 2: 100, 3: 100, 4: 100}))
+}
+
+// TestNewUpstreamGetsItsShareOnly guards against a new upstream, or one that has returned,
+// that gets every new flow because it has no recent requests.
+func TestNewUpstreamGetsItsShareOnly(t *testing.T) {
+	g := NewWithT(t)
+	entries := []catalog.Entry{newEntry(1, localDC), newEntry(2, localDC), newEntry(3, localDC), newEntry(4, localDC)}
+	h := newHarness(t, entries[:3]...)
+	h.completeRequests(watchAddress, 300, 20*time.Millisecond)
+	share := func(number catalog.UpstreamID) int {
+		n := 0
+		for range 40 {
+			f := h.newFlow(watchAddress)
+			if f.open().Upstream == number {
+				n++
+			}
+			f.sendRequest()
+			h.advance(20 * time.Millisecond)
+			f.ackResponse()
+			f.sendFIN()
+		}
+		return n
+	}
+	h.upstreams = entries
+	h.applyView()
+	g.Expect(share(4)).To(BeNumerically("~", 10, 2), "a new upstream")
+	h.updateUpstream(2, func(e *catalog.Entry) { e.Draining = true })
+	h.completeRequests(watchAddress, 300, 20*time.Millisecond)
+	h.updateUpstream(2, func(e *catalog.Entry) { e.Draining = false })
+	g.Expect(share(2)).To(BeNumerically("~", 10, 2), "an upstream that was away")
+	h.updateUpstream(3, func(e *catalog.Entry) { e.Started = e.Started.Add(time.Hour) })
+	g.Expect(share(3)).To(BeNumerically("~", 10, 2), "a restarted upstream")
+}
+
+// TestRecentRequestsOutliveTheirUnit covers a host that runs for hours: the weights of
+// requests grow with time and must not overflow.
+func TestRecentRequestsOutliveTheirUnit(t *testing.T) {
+	g := NewWithT(t)
+	h := newHarness(t, newEntry(1, localDC), newEntry(2, localDC))
+	for range 100 {
+		h.advance(7 * time.Minute)
+		counts := make(map[catalog.UpstreamID]int)
+		for range 10 {
+			f := h.newFlow(watchAddress)
+			counts[f.open().Upstream]++
+			f.sendRequest()
+			f.ackResponse()
+			f.sendFIN()
+		}
+		g.Expect(counts).To(Equal(map[catalog.UpstreamID]int{1: 5, 2: 5}))
+	}
+}
+
 func TestFlowsStayInTheirDataCentreWhileItHasFreeSlots(t *testing.T) {
 	g := NewWithT(t)
 	h := newHarness(t, newEntry(1, localDC), newEntry(2, remoteDC))
--- a/internal/flow/echo/engine.go
+++ b/internal/flow/echo/engine.go
@@ -73,6 +73,8 @@
 	lastSweep  time.Time
 	// dataCentres holds the data centres of the upstreams by name.
 	dataCentres map[string]*dataCentreHealth
+	// recentOrigin is the time of a request that counts 1 in recentRequests.
+	recentOrigin time.Time
 	// suspectedCount is the number of suspected upstreams.
 	suspectedCount int
 	// lastAnswer is when any upstream last answered a flow of this host.
--- a/internal/flow/echo/established.go
+++ b/internal/flow/echo/established.go
@@ -92,6 +92,9 @@
 	end := s.Seq + uint32(s.Length)
 	switch {
 	case s.Length > 0 && seqAfter(end, rec.nextSeq):
+		if rec.sentRequest || !rec.sawSYN {
+			e.countRecent(now, rec.upstream) // the first request is counted with the SYN
+		}
 		rec.nextSeq, rec.sentRequest = end, true
 		rec.startRequest(now)
 	case s.Length > 0:
--- a/internal/flow/echo/mechanism.go
+++ b/internal/flow/echo/mechanism.go
@@ -38,6 +38,9 @@
 	OverdueRequests
 	// SharedEvidence uses the evidence of other hosts.
 	SharedEvidence
+	// RecentRequests prefers, of equally used upstreams, the one with the fewest of this host's
+	// recent requests.
+	RecentRequests
 
 	mechanismCount
 )
@@ -46,7 +49,7 @@
 	AdmissionQueue: "admission-queue", OverloadRefusal: "overload-refusal", DeadlineRefusal: "deadline-refusal", WarmupWeight: "warmup-weight",
 	RemotePenalty: "remote-penalty", Suspicion: "suspicion", DataCentreSuspicion: "data-centre-suspicion", HoldDown: "hold-down",
 	UnreachableReset: "unreachable-reset", PauseGrace: "pause-grace", FailedCost: "failed-cost", Ejection: "ejection",
-	OverdueRequests: "overdue-requests", SharedEvidence: "shared-evidence",
+	OverdueRequests: "overdue-requests", SharedEvidence: "shared-evidence", RecentRequests: "recent-requests",
 }
 
 // String returns the mechanism's name.
--- a/internal/flow/echo/policy.go
+++ b/internal/flow/echo/policy.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"time"
 )
 
@@ -12,7 +13,7 @@
 const (
 	// LeastUsed takes the upstream with the smallest fraction of its slots in use
 	// by this host's flows. For an upstream in another data centre, remotePenalty is
-	// added to the fraction.
+	// added to the fraction. Of several, it takes the one with the fewest recent requests.
 	LeastUsed Policy = iota
 	// Random takes a random upstream.
 	Random
@@ -47,6 +48,16 @@
 	return []Policy{LeastUsed, Random, TwoChoices, IdleFirst, SharedEstimates, AllKnowing}
 }
 
+// ParsePolicy returns the policy with the name.
+func ParsePolicy(name string) (Policy, error) {
+	for _, p := range Policies() {
+		if p.String() == name {
+			return p, nil
+		}
+	}
+	return 0, fmt.Errorf("unknown policy %q: use one of %s", name, strings.Join(policyNames[:], ", "))
+}
+
 // cost returns the cost of an upstream under the policy, which chooses the upstream
 // with the lowest cost. For most policies it is the upstream's utilisation (the
 // fraction of its slots in use) plus penalties.
--- /dev/null
+++ b/internal/flow/echo/recent.go
@@ -0,0 +1,82 @@
+package echo
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// recentMemory is the time after which a request counts 1/e in the recent requests of an
+	// upstream. It covers several requests of a flow that pauses for seconds.
+	recentMemory = 15 * time.Second
+	// maxRecentExponent is the exponent of the weight of a new request at which all counts
+	// are scaled down.
+	maxRecentExponent = 50
+)
+
+// recentRequests is the decayed number of this host's requests at an upstream. Its unit
+// changes with Engine.recentOrigin, so it can only be compared with others.
+type recentRequests struct {
+	count float64
+	// away is set if the last choice from the upstream's pool could not take it.
+	away bool
+}
+
+// countRecent counts a request of this host at the upstream, or a flow that will send one.
+// A request that starts later has a larger weight, so that the decay of all counts needs
+// no update.
+func (e *Engine) countRecent(now time.Time, u *upstream) {
+	exponent := now.Sub(e.recentOrigin).Seconds() / recentMemory.Seconds()
+	if exponent > maxRecentExponent {
+		for _, other := range e.upstreams {
+			other.recent.count *= math.Exp(-exponent)
+		}
+		e.recentOrigin, exponent = now, 0
+	}
+	u.recent.count += math.Exp(exponent)
+}
+
+// recentPerSlot returns what LeastUsed compares among upstreams with the same cost.
+//
+// Most flows stay open and pause between requests. The outstanding requests of a moment
+// tell little about the number of flows that an upstream has, and without this count the
+// numbers of flows would differ by chance for as long as the flows live.
+func (e *Engine) recentPerSlot(now time.Time, u *upstream) float64 {
+	if e.options.Policy == Random || e.options.Policy == AllKnowing || e.options.Without.Has(RecentRequests) {
+		return 0
+	}
+	return u.recent.count / u.effectiveSlots(now)
+}
+
+// welcome gives the candidates that the last choice could not take the mean count of the
+// others on their side, in their own data centre or not. A new upstream, or one that has
+// returned, would otherwise get all new flows until its count had caught up.
+func (e *Engine) welcome(now time.Time, candidates []*upstream) {
+	var counts, slots [2]float64
+	anyAway := false
+	for _, u := range candidates {
+		if u.recent.away {
+			anyAway = true
+			continue
+		}
+		counts[u.side()] += u.recent.count
+		slots[u.side()] += u.effectiveSlots(now)
+	}
+	if !anyAway {
+		return
+	}
+	for _, u := range candidates {
+		if u.recent.away && slots[u.side()] > 0 {
+			u.recent.count = max(u.recent.count, counts[u.side()]/slots[u.side()]*u.effectiveSlots(now))
+		}
+		u.recent.away = false
+	}
+}
+
+// side returns 0 for an upstream in the host's own data centre, and 1 for another.
+func (u *upstream) side() int {
+	if u.local {
+		return 0
+	}
+	return 1
+}
--- a/internal/flow/echo/syn.go
+++ b/internal/flow/echo/syn.go
@@ -43,6 +43,7 @@
 	e.storeRecord(key, rec)
 	d := e.withDetail(now, forwardTo(u, Opened), r, u, nil)
 	rec.startRequest(now)
+	e.countRecent(now, u)
 	return d
 }
 
@@ -63,6 +64,7 @@
 	case other != nil && other != u && e.admissionOf(now, p, r, other, s) == admit:
 		d := e.withDetail(now, forwardTo(other, OpenedElsewhere), r, u, rec)
 		rec.reassign(other)
+		e.countRecent(now, other)
 		return d
 	case u.acceptsFlows():
 		return again
--- a/internal/flow/echo/upstream.go
+++ b/internal/flow/echo/upstream.go
@@ -25,6 +25,7 @@
 	outstanding int
 	// openFlows is the number of this host's open flows.
 	openFlows int
+	recent    recentRequests
 }
 
 // tokenOf returns the token of the upstream with the given ID. All hosts derive the
--- a/internal/flow/echo/view.go
+++ b/internal/flow/echo/view.go
@@ -76,13 +76,14 @@
 	for _, entry := range entries {
 		u := e.upstreams[entry.ID]
 		if u == nil {
-			u = &upstream{token: tokenOf(entry.ID)}
+			u = &upstream{token: tokenOf(entry.ID), recent: recentRequests{away: true}}
 		}
 		if u.Presence != 0 && !u.Started.Equal(entry.Started) {
 			// A new process uses the same ID. Suspicion and hold-down applied to the old one.
 			e.clearSuspicion(now, u, Restarted)
 			u.holdDown = 0
 			u.ejection, u.counts = ejection{}, answerCounts{}
+			u.recent = recentRequests{away: true}
 		}
 		u.Entry = entry
 		if e.options.Without.Has(WarmupWeight) {
