--- a/internal/flow/echo/engine.go
+++ b/internal/flow/echo/engine.go
@@ -74,6 +74,8 @@
 	dataCentres map[string]*dataCentreHealth
 	// evacuations holds the evacuated data centres by name.
 	evacuations map[string]evacuation
+	// recentOrigin is the time of a request that counts 1 in recentRequests.
+	recentOrigin time.Time
 	// suspectedCount is the number of suspected upstreams.
 	suspectedCount int
 	// lastAnswer is when any upstream last answered a flow of this host.
