echo: an evacuated data centre that is cut off is suspected like others

Evacuated upstreams were left out of the suspicion of a whole data centre and of the one by reports of other hosts.

Ruled out: that nothing would clear such a suspicion. Probes do, as soon as the evacuation is withdrawn, and an answer does at any time.

Change: both suspicions include evacuated upstreams, so that a flow there that goes unanswered is reset at its retransmission. The test that expected no suspicion is replaced by one that expects the reset and the probes afterwards; it and the one for reports fail without the change.

--- a/internal/flow/echo/ejection.go
+++ b/internal/flow/echo/ejection.go
@@ -136,7 +136,7 @@
 	silent := u.reported.SilentHosts >= minSilentHosts && u.reported.Strikes >= minStrikes
 	lastAnswer := now.Add(-u.reported.AnswerAge)
 	switch {
-	case silent && !u.suspected() && u.acceptsFlows():
+	case silent && !u.suspected() && u.active():
 		e.suspect(now, u, Reported)
 		u.byReports = true
 	case !silent && u.byReports:
--- a/internal/flow/echo/evacuation_test.go
+++ b/internal/flow/echo/evacuation_test.go
@@ -7,6 +7,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/oatlatch/oatlatch/internal/catalog"
+	"github.com/oatlatch/oatlatch/internal/evidence"
 )
 
 // evacuate applies a view in which exactly the given data centres are evacuated.
@@ -188,14 +189,29 @@
 		h.evacuate()
 		g.Expect(h.engine.DueProbes(h.now)).To(HaveLen(1))
 	})
-	t.Run("their data centre is not suspected as a whole", func(t *testing.T) {
+	t.Run("a cut from their data centre resets open flows that go unanswered", func(t *testing.T) {
 		g := NewWithT(t)
 		h := newHarness(t, newEntry(1, localDC), newEntry(2, remoteDC), newEntry(3, remoteDC), newEntry(4, remoteDC))
+		f := h.openOnEach(4, 1)[4][0]
 		h.evacuate(remoteDC)
+		h.advance(300 * time.Millisecond)
+		h.engine.lastPacket = h.now // otherwise the gap counts as a pause of the host
 		h.engine.suspect(h.now, h.engine.upstreams[2], Retransmissions)
 		h.engine.suspect(h.now, h.engine.upstreams[3], Retransmissions)
 		h.engine.checkDataCentre(h.now, h.engine.upstreams[3])
-		g.Expect(h.engine.upstreams[4].suspected()).To(BeFalse(), "nothing would clear it when the data centre returns")
+		h.expectDecision(f.sendRequest(), Forward, Known)
+		h.advance(200 * time.Millisecond)
+		h.completeOtherServiceRequest()
+		h.expectDecision(f.retransmit(), Reset, Unreachable)
+		h.evacuate()
+		g.Expect(h.engine.DueProbes(h.now)).To(HaveLen(3), "probes clear the upstreams once the data centre is back")
+	})
+	t.Run("reports of other hosts reset open flows that go unanswered", func(t *testing.T) {
+		g := NewWithT(t)
+		h := newHarness(t, newEntry(1, localDC), newEntry(2, remoteDC))
+		h.evacuate(remoteDC)
+		h.engine.SetEvidence(h.now, []evidence.Entry{{Upstream: 2, Strikes: 2, SilentHosts: 2, AnswerAge: evidence.NoAnswer}})
+		g.Expect(h.engine.upstreams[2].suspected()).To(BeTrue())
 	})
 	t.Run("an open flow is reset only if it goes unanswered itself", func(t *testing.T) {
 		h := newHarness(t, newEntry(1, localDC), newEntry(2, remoteDC))
--- a/internal/flow/echo/suspicion.go
+++ b/internal/flow/echo/suspicion.go
@@ -101,9 +101,10 @@
 // checkDataCentre suspects every upstream of u's data centre if enough of them are
 // suspected and no upstream there has answered since minRetransmitDelay before the
 // first of them was suspected. The host's own data centre is never suspected as a
-// whole, nor is one that is evacuated: no probe would clear its upstreams.
+// whole. One that is evacuated may be, so that its open flows are reset when they go
+// unanswered; probes clear its upstreams once it takes flows again.
 func (e *Engine) checkDataCentre(now time.Time, u *upstream) {
-	if u.local || u.evacuated || e.options.Without.Has(DataCentreSuspicion) {
+	if u.local || e.options.Without.Has(DataCentreSuspicion) {
 		return
 	}
 	suspected := 0
