echo, forward: idle flows of failed upstreams are reset

Ruled out: resets at the suspicion (a probe may still clear it), at the departure alone (the registration ends 2.4 s later), for suspicions of a data centre.

Mechanism idle-reset, reason unreachable-idle.

--- a/internal/flow/echo/engine.go
+++ b/internal/flow/echo/engine.go
@@ -54,6 +54,9 @@
 	// queuedPools are the pools with waiting flows; waiting is the number of these flows.
 	queuedPools []*pool
 	waiting     atomic.Int64
+	// idleResets are the idle flows to be reset; pendingResets is their number.
+	idleResets    []idleReset
+	pendingResets atomic.Int64
 	// partial is set while the current view may lack routes and upstreams.
 	partial bool
 	routes  map[netip.AddrPort]*route
@@ -113,7 +116,7 @@
 		return Decision{Verdict: Hold, Reason: NoConfiguration}
 	}
 	e.detectPause(now)
-	if now.Sub(e.lastSweep) >= sweepInterval {
+	if e.sweepDue(now) {
 		e.sweep(now)
 	}
 	r := e.routes[s.VirtualAddress]
@@ -160,7 +163,8 @@
 	return Decision{Verdict: Forward, Reason: reason, Upstream: u.ID, Address: u.Address, Token: u.token}
 }
 
-// sweep removes expired records and reports flows and requests that had no answer.
+// sweep removes expired records, reports flows and requests that had no answer, and resets
+// idle flows of upstreams that have failed.
 func (e *Engine) sweep(now time.Time) {
 	e.lastSweep = now
 	e.expireReports(now)
@@ -173,6 +177,7 @@
 			e.removeRecord(key, rec)
 		case rec.state == stateClosed && idle > closedTTL, idle > e.idleTimeout:
 			e.removeRecord(key, rec)
+		case e.resetIdleFlow(now, key, rec):
 		case rec.awaitingResponse && now.Sub(rec.requestedAt) > rec.responseTimeout():
 			if rec.sentRequest {
 				e.reportUnanswered(now, Unanswered, key, rec)
--- a/internal/flow/echo/reason.go
+++ b/internal/flow/echo/reason.go
@@ -46,6 +46,9 @@
 	// Unreachable means that the flow's upstream is suspected and the request is
 	// repeatable.
 	Unreachable
+	// UnreachableIdle means that the flow's upstream is suspected and the flow has no
+	// outstanding request.
+	UnreachableIdle
 	// Retransmissions means that several flows of the upstream retransmitted packets and
 	// none of its flows was answered meanwhile.
 	Retransmissions
@@ -97,6 +100,7 @@
 	UpstreamLeft:           "upstream-left",
 	UpstreamLost:           "upstream-lost",
 	Unreachable:            "unreachable",
+	UnreachableIdle:        "unreachable-idle",
 	Retransmissions:        "repeated-packets",
 	UnresponsiveDataCentre: "silent-site",
 	Reported:               "reported",
--- a/internal/flow/echo/suspicion.go
+++ b/internal/flow/echo/suspicion.go
@@ -46,8 +46,10 @@
 	byReports bool
 	// lastAnswer is when the upstream last answered a flow of this host.
 	lastAnswer time.Time
-	// suspectedAt is when the upstream became suspected, or zero if it is not.
-	suspectedAt time.Time
+	// suspectedAt is when the upstream became suspected, or zero if it is not, and
+	// suspectedFor the reason.
+	suspectedAt  time.Time
+	suspectedFor Reason
 	// lastProbe is when the last probe of the suspected upstream began.
 	lastProbe time.Time
 	// holdDown is how long probes cannot clear the upstream the next time that it is
@@ -131,7 +133,7 @@
 // suspect marks an upstream as suspected. New flows avoid it until it answers a flow,
 // a probe clears it or a new process uses its ID.
 func (e *Engine) suspect(now time.Time, u *upstream, reason Reason) {
-	u.suspectedAt, u.lastProbe, u.holdDownUntil = now, time.Time{}, now.Add(u.holdDown)
+	u.suspectedAt, u.suspectedFor, u.lastProbe, u.holdDownUntil = now, reason, time.Time{}, now.Add(u.holdDown)
 	if !e.options.Without.Has(HoldDown) {
 		u.holdDown = min(maxHoldDown, max(initialHoldDown, 2*u.holdDown))
 	}
--- a/internal/forward/echo_forwarder.go
+++ b/internal/forward/echo_forwarder.go
@@ -135,6 +135,21 @@
 	if f.options.Engine.WaitingFlows() > 0 {
 		f.admitWaiting()
 	}
+	if f.options.Engine.PendingResets() > 0 {
+		w.resetIdleFlows()
+	}
+}
+
+// resetIdleFlows resets the idle flows that the engine has scheduled.
+func (w *echoWorker) resetIdleFlows() {
+	for {
+		flow, d, ok := w.forwarder.options.Engine.NextReset()
+		if !ok {
+			return
+		}
+		w.segment = flow
+		w.execute(&d, nil)
+	}
 }
 
 // execute forwards the packet to the upstream, resets its flow or drops it, as decided.
