--- a/cmd/oatlatch/experiment.go
+++ b/cmd/oatlatch/experiment.go
@@ -35,7 +35,7 @@
 	StartDelay  time.Duration `default:"100ms" help:"Time after that until a host knows the upstreams."`
 	Seconds     int           `default:"30" help:"How long callers send requests."`
 	FlowLength  int           `default:"0" help:"Mean number of requests on a flow that stays open; 0 keeps it open."`
-	Age         time.Duration `default:"0s" help:"Age of the estimates under shared-estimates."`
+	Age         time.Duration `default:"0s" help:"Time from an exchange of estimates under shared-estimates until hosts know them."`
 	Policy      string        `placeholder:"NAME" help:"Play this policy only."`
 	Without     string        `placeholder:"NAMES" help:"Mechanisms to switch off, comma-separated."`
 	Ablate      int           `placeholder:"SEEDS" help:"Compare runs without each mechanism to those with all, over this many seeds."`
--- a/internal/experiment/options.go
+++ b/internal/experiment/options.go
@@ -38,8 +38,8 @@
 	// FlowRequests is the mean number of requests on a flow that stays open. With 0 it stays
 	// open for the whole run.
 	FlowRequests int
-	// KnowledgeAge is the age of what hosts learn from each other under echo.SharedEstimates.
-	// With 0 they know it at once.
+	// KnowledgeAge is the time from an exchange under echo.SharedEstimates until hosts know
+	// what they have learned. Until the next exchange it is up to ShareInterval older.
 	KnowledgeAge time.Duration
 	// Without holds the mechanisms that are switched off.
 	Without echo.MechanismSet
--- a/internal/flow/echo/choose.go
+++ b/internal/flow/echo/choose.go
@@ -74,17 +74,21 @@
 		return nil
 	}
 	candidates := e.candidates[:0]
+	returned := false
 	for _, u := range p.upstreams {
 		switch {
 		case u == avoid:
 		case eligible(u):
 			candidates = append(candidates, u)
+			returned = returned || u.recent.away
 		default:
 			u.recent.away = true
 		}
 	}
 	e.candidates = candidates
-	e.welcome(now, candidates)
+	if returned {
+		startAtMean(now, candidates)
+	}
 	if e.options.Policy == TwoChoices && len(candidates) > 2 {
 		first, second := e.random.IntN(len(candidates)), e.random.IntN(len(candidates)-1)
 		if second >= first {
@@ -101,7 +105,7 @@
 func (e *Engine) lowestCost(now time.Time, candidates []*upstream) *upstream {
 	var sides [2]cheapest
 	for _, u := range candidates {
-		sides[u.side()].consider(e, u, e.cost(now, u), e.recentPerSlot(now, u))
+		sides[u.side()].consider(e, now, u)
 	}
 	local, remote := &sides[0], &sides[1]
 	switch {
@@ -125,13 +129,15 @@
 	count, ties int
 }
 
-// consider adds a candidate with its cost and its recent requests for each slot.
-func (c *cheapest) consider(e *Engine, u *upstream, cost, recent float64) {
-	switch {
-	case c.best == nil || cost < c.cost:
-		*c = cheapest{best: u, cost: cost, recent: recent, count: 1, ties: 1}
+// consider adds a candidate.
+func (c *cheapest) consider(e *Engine, now time.Time, u *upstream) {
+	cost := e.cost(now, u)
+	if c.best != nil && cost > c.cost {
 		return
-	case cost > c.cost:
+	}
+	recent := e.recentPerSlot(now, u)
+	if c.best == nil || cost < c.cost {
+		*c = cheapest{best: u, cost: cost, recent: recent, count: 1, ties: 1}
 		return
 	}
 	c.count++
--- a/internal/flow/echo/choose_test.go
+++ b/internal/flow/echo/choose_test.go
@@ -72,6 +72,25 @@
 	g.Expect(share(3)).To(BeNumerically("~", 10, 2), "a restarted upstream")
 }
 
+// TestBusiestRatioShowsImbalance checks what operators see when one upstream has flows with
+// more requests than others.
+func TestBusiestRatioShowsImbalance(t *testing.T) {
+	g := NewWithT(t)
+	h := newHarness(t, newEntry(1, localDC), newEntry(2, localDC), newEntry(3, remoteDC))
+	g.Expect(h.engine.Stats(h.now).BusiestRatio).To(BeZero(), "without requests")
+	h.completeRequests(watchAddress, 60, time.Millisecond)
+	g.Expect(h.engine.Stats(h.now).BusiestRatio).To(BeNumerically("~", 1, 0.05))
+	f := h.newFlow(watchAddress)
+	f.open()
+	for range 60 {
+		f.sendRequest()
+		f.ackResponse()
+	}
+	g.Expect(h.engine.Stats(h.now).BusiestRatio).To(BeNumerically("~", 1.5, 0.05), "90 requests at one and 30 at the other")
+	h.advance(time.Minute)
+	g.Expect(h.engine.Stats(h.now).BusiestRatio).To(BeZero(), "a minute later")
+}
+
 // TestRecentRequestsOutliveTheirUnit covers a host that runs for hours: the weights of
 // requests grow with time and must not overflow.
 func TestRecentRequestsOutliveTheirUnit(t *testing.T) {
--- a/internal/flow/echo/recent.go
+++ b/internal/flow/echo/recent.go
@@ -12,6 +12,9 @@
 	// maxRecentExponent is the exponent of the weight of a new request at which all counts
 	// are scaled down.
 	maxRecentExponent = 50
+	// minRatioRequests is the mean number of recent requests of an upstream from which on
+	// busiestRatio is given. With fewer, chance alone makes large ratios.
+	minRatioRequests = 10
 )
 
 // recentRequests is the decayed number of this host's requests at an upstream. Its unit
@@ -48,22 +51,16 @@
 	return u.recent.count / u.effectiveSlots(now)
 }
 
-// welcome gives the candidates that the last choice could not take the mean count of the
-// others on their side, in their own data centre or not. A new upstream, or one that has
-// returned, would otherwise get all new flows until its count had caught up.
-func (e *Engine) welcome(now time.Time, candidates []*upstream) {
+// startAtMean gives the candidates that the last choice could not take the mean count of
+// the others on their side, in the host's data centre or in others. A new upstream, or one
+// that has returned, would otherwise get all new flows until its count had caught up.
+func startAtMean(now time.Time, candidates []*upstream) {
 	var counts, slots [2]float64
-	anyAway := false
 	for _, u := range candidates {
-		if u.recent.away {
-			anyAway = true
-			continue
+		if !u.recent.away {
+			counts[u.side()] += u.recent.count
+			slots[u.side()] += u.effectiveSlots(now)
 		}
-		counts[u.side()] += u.recent.count
-		slots[u.side()] += u.effectiveSlots(now)
-	}
-	if !anyAway {
-		return
 	}
 	for _, u := range candidates {
 		if u.recent.away && slots[u.side()] > 0 {
@@ -80,3 +77,24 @@
 	}
 	return 1
 }
+
+// busiestRatio returns the number of recent requests per slot at the busiest upstream of
+// the pool that takes new flows in the host's data centre, divided by the mean of these
+// upstreams, or 0 if they have too few requests.
+func (e *Engine) busiestRatio(now time.Time, p *pool) float64 {
+	var total, slots, busiest float64
+	upstreams := 0
+	for _, u := range p.upstreams {
+		if u.local && isHealthy(u) {
+			upstreams++
+			total += u.recent.count
+			slots += u.effectiveSlots(now)
+			busiest = max(busiest, u.recent.count/u.effectiveSlots(now))
+		}
+	}
+	unit := math.Exp(now.Sub(e.recentOrigin).Seconds() / recentMemory.Seconds())
+	if upstreams == 0 || total/unit < minRatioRequests*float64(upstreams) {
+		return 0
+	}
+	return busiest * slots / total
+}
--- a/internal/flow/echo/stats.go
+++ b/internal/flow/echo/stats.go
@@ -19,6 +19,10 @@
 	// Ejected is the number of upstreams that new flows avoid because their answers look
 	// failed. They also count in the other numbers.
 	Ejected int
+	// BusiestRatio is the number of this host's recent requests per slot at the busiest
+	// upstream of its data centre, divided by the mean of its service's upstreams there; the
+	// largest of all services with enough requests, or zero if there is none.
+	BusiestRatio float64
 }
 
 // Stats returns the current statistics.
@@ -39,6 +43,9 @@
 			s.Usable++
 		}
 	}
+	for _, p := range e.pools {
+		s.BusiestRatio = max(s.BusiestRatio, e.busiestRatio(now, p))
+	}
 	return s
 }
 
--- a/internal/forward/echo_metrics.go
+++ b/internal/forward/echo_metrics.go
@@ -74,6 +74,7 @@
 	flowsDesc     = prometheus.NewDesc("oatlatch_echo_flow_records", "Flow records held.", nil, nil)
 	waitingDesc   = prometheus.NewDesc("oatlatch_echo_waiting_flows", "New flows that wait for a slot.", nil, nil)
 	upstreamsDesc = prometheus.NewDesc("oatlatch_echo_upstreams", "Upstreams, by what new flows may do with them.", []string{"state"}, nil)
+	busiestDesc   = prometheus.NewDesc("oatlatch_echo_busiest_ratio", "This host's recent requests per slot at the busiest upstream of its data centre, divided by the mean of the service; the largest of all services, 0 with few requests.", nil, nil)
 )
 
 // Describe implements prometheus.Collector.
@@ -82,6 +83,7 @@
 	out <- flowsDesc
 	out <- waitingDesc
 	out <- upstreamsDesc
+	out <- busiestDesc
 }
 
 // Collect implements prometheus.Collector.
@@ -98,6 +100,7 @@
 	gauge(upstreamsDesc, s.Suspected, "suspected")
 	gauge(upstreamsDesc, s.Ejected, "ejected")
 	gauge(upstreamsDesc, s.Departed, "departed")
+	out <- prometheus.MustNewConstMetric(busiestDesc, prometheus.GaugeValue, s.BusiestRatio)
 }
 
 // malformedLogInterval is the minimum time between log lines about malformed
