--- a/internal/forward/echo_metrics.go
+++ b/internal/forward/echo_metrics.go
@@ -77,6 +77,7 @@
 	evacuatedFlowsDesc       = prometheus.NewDesc("oatlatch_echo_evacuated_open_flows", "This host's open flows at upstreams of an evacuated data centre.", []string{"data_centre"}, nil)
 	evacuatedRequestsDesc    = prometheus.NewDesc("oatlatch_echo_evacuated_requests", "This host's requests without an answer at upstreams of an evacuated data centre.", []string{"data_centre"}, nil)
 	upstreamsDesc            = prometheus.NewDesc("oatlatch_echo_upstreams", "Upstreams, by what new flows may do with them.", []string{"state"}, nil)
+	busiestDesc              = prometheus.NewDesc("oatlatch_echo_busiest_ratio", "This host's recent requests per slot at the busiest upstream of its data centre, divided by the mean of the service; the largest of all services, 0 with few requests.", nil, nil)
 )
 
 // Describe implements prometheus.Collector.
@@ -88,6 +89,7 @@
 	out <- evacuatedDataCentresDesc
 	out <- evacuatedFlowsDesc
 	out <- evacuatedRequestsDesc
+	out <- busiestDesc
 }
 
 // Collect implements prometheus.Collector.
@@ -111,6 +113,7 @@
 		gauge(evacuatedFlowsDesc, evacuations[i].OpenFlows, evacuations[i].DataCentre)
 		gauge(evacuatedRequestsDesc, evacuations[i].Outstanding, evacuations[i].DataCentre)
 	}
+	out <- prometheus.MustNewConstMetric(busiestDesc, prometheus.GaugeValue, s.BusiestRatio)
 }
 
 // malformedLogInterval is the minimum time between log lines about malformed
