feed, catalogrpc: hosts fetch earlier configurations at once, also from followers

Cause: a host that has read only a listing holds packets until it knows the configurations before it. Its parent would answer its watch after 1.5 s if nothing else had changed, and the first host of all, which reads the store, has no parent that could tell it.

Change: a watch whose reader knows less is answered at once. A host whose follower knows earlier configurations, and all since, reads that follower as it does for a newer version (at most once a second, until it knows as much).

--- a/internal/catalogrpc/catalogrpc_test.go
+++ b/internal/catalogrpc/catalogrpc_test.go
@@ -240,3 +240,23 @@
 		})
 	}
 }
+
+// TestWatchTellsEarlierConfigurationsAtOnce covers a host that knows only the newest
+// configuration: it holds packets of open flows until it knows the earlier ones.
+func TestWatchTellsEarlierConfigurationsAtOnce(t *testing.T) {
+	g := NewWithT(t)
+	c := &fakeCatalog{changed: make(chan struct{}), updates: make(chan catalog.Update, 1), known: true}
+	source := newConnectedSource(t, c)
+	c.current = catalog.Update{Position: at(9), History: &catalog.History{From: at(3), Age: time.Second, Former: []catalog.FormerService{
+		{Address: loopback, Service: "desk", Dropped: at(4), Age: time.Second},
+	}}}
+	have := catalog.Have{Position: at(9), HistoryFrom: at(8)}
+	update, err := source.Watch(context.Background(), have, time.Hour)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(update.History).To(Equal(c.current.History))
+	have.HistoryFrom = at(3)
+	started := time.Now()
+	_, err = source.Watch(context.Background(), have, 50*time.Millisecond)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(time.Since(started)).To(BeNumerically(">=", 50*time.Millisecond), "the host knows as much")
+}
--- a/internal/catalogrpc/fuzz_test.go
+++ b/internal/catalogrpc/fuzz_test.go
@@ -23,6 +23,7 @@
 		{Position: at(4), Changes: []catalog.Change{{Position: at(1), Configuration: &catalog.Configuration{Version: 1, Routes: []catalog.Route{{Name: "r", Address: address}}}}}},
 		{Position: at(4), Changes: []catalog.Change{{Position: at(1), Configuration: &catalog.Configuration{Version: 1, Routes: []catalog.Route{{Name: "r", Address: address, Shares: []catalog.Share{{Service: "a"}, {Service: "b"}}}}}}}},
 		{Position: at(4), Changes: []catalog.Change{{Position: at(1), Delta: &catalog.Delta{Base: 1, Version: 2}}, {}}},
+		{Position: at(4), History: &catalog.History{From: at(9), Age: -time.Hour, Former: []catalog.FormerService{{}, {Address: address, Service: "desk", Dropped: at(1), Age: -time.Hour}}}},
 	}
 	for i := range pages {
 		packed, err := gobpack.Pack(&pages[i])
--- a/internal/catalogrpc/service.go
+++ b/internal/catalogrpc/service.go
@@ -74,7 +74,7 @@
 }
 
 // hasNewChanges reports whether the update has a change that a host with the given state
-// lacks. The update may also repeat inferred departures at the host's position, and
+// lacks, or tells of earlier configurations than the host knows. The update may also repeat inferred departures at the host's position, and
 // overrides of upstreams. They don't count, because the host may have received them before.
 func hasNewChanges(update *catalog.Update, have catalog.Have) bool {
 	for i := range update.Changes {
@@ -84,5 +84,5 @@
 			return true
 		}
 	}
-	return false
+	return update.History != nil && have.HistoryFrom.After(update.History.From)
 }
--- a/internal/feed/epoch_test.go
+++ b/internal/feed/epoch_test.go
@@ -1,6 +1,7 @@
 package feed
 
 import (
+	"net/netip"
 	"testing"
 	"time"
 
@@ -100,6 +101,33 @@
 	g.Expect(f.peer.watches).To(HaveLen(1))
 }
 
+// TestFollowerThatKnowsEarlierConfigurationsIsRead covers a first host that has started from
+// a listing, which leaves out former services of routes, while its followers ran before.
+func TestFollowerThatKnowsEarlierConfigurationsIsRead(t *testing.T) {
+	g := NewWithT(t)
+	f := newTestFeed(t)
+	f.poll()
+	address := netip.MustParseAddrPort("198.18.0.1:443")
+	g.Expect(f.feed.have().HistoryFrom).To(Equal(at(7)))
+	f.feed.NoteFollower("a-1", catalog.Have{Position: at(6), Version: 1, HistoryFrom: at(2)})
+	f.poll()
+	g.Expect(f.peer.watches).To(BeEmpty(), "it may have missed what was written between 6 and 7")
+	f.feed.NoteFollower("a-1", catalog.Have{Position: at(7), Version: 1})
+	f.poll()
+	g.Expect(f.peer.watches).To(BeEmpty(), "it does not tell what it knows")
+	f.peer.update = catalog.Update{Position: at(7), Via: "a-0", History: &catalog.History{
+		From: at(2), Age: time.Minute, Former: []catalog.FormerService{{Address: address, Service: "desk", Dropped: at(3), Age: time.Second}},
+	}}
+	for range 3 {
+		f.feed.NoteFollower("a-1", catalog.Have{Position: at(7), Version: 1, HistoryFrom: at(2)})
+		f.now = f.now.Add(consultInterval)
+		f.poll()
+	}
+	g.Expect(f.peer.watches).To(HaveLen(1), "the follower is read until this host knows as much")
+	last := f.views[len(f.views)-1]
+	g.Expect(last.Former.Has(address, "desk")).To(BeTrue())
+}
+
 // TestFollowerIsNotReadDuringAListing covers a follower that knows more while this host is
 // between two pages.
 func TestFollowerIsNotReadDuringAListing(t *testing.T) {
