catalog: a host that starts knows the upstreams that departed lately

Cause: a relayed or stored removal named the upstream alone. A host that started after it had no token for the upstream, so it dropped the packets of its flows as unknown-token, where older hosts reset them (drained) or forward them (registration lost). The same held for upstreams that had lapsed.

Change: a removal carries the last registration (ID, service, address, data centre, drain) and how long ago it ended, which is not extended by relays. A host that missed the drain of an upstream that has left learns it from the removal.

Ruled out: the ID from the upstream's name in the store's removal, which tells neither service nor drain.

--- a/internal/catalog/change.go
+++ b/internal/catalog/change.go
@@ -23,6 +23,10 @@
 	// identifies its last record; it is zero if the source does not know it.
 	Removed    string
 	LastRecord RecordID
+	// LastRegistration is that upstream's last registration without its name and record
+	// ID, and RemovedAge the time since it ended. The store tells neither.
+	LastRegistration *Upstream
+	RemovedAge       time.Duration
 	// Lapsed is set together with Removed if the registration expired during a store
 	// outage, so that the upstream may register again.
 	Lapsed bool
--- a/internal/catalog/registration.go
+++ b/internal/catalog/registration.go
@@ -77,11 +77,11 @@
 	e, ok := c.upstreams[name]
 	switch {
 	case !ok:
-		c.upstreams[name] = &Entry{Upstream: Upstream{Name: name, RecordID: change.LastRecord}, Presence: Departed, PresenceSince: now, position: position}
+		e = newDeparted(now, change)
+		c.upstreams[name] = e
 		if change.Override {
-			c.setOverride(now, c.upstreams[name], change.storedOr(&c.upstreams[name].Upstream))
+			c.setOverride(now, e, change.storedOr(&e.Upstream))
 		}
-		return
 	case e.position.After(position):
 	case change.Override:
 		c.overrideRemoved(now, e, change)
@@ -90,8 +90,8 @@
 		// registration, so equal positions count as well.
 		c.markUnregistered(now, e, position)
 	}
-	if e.Presence == Departed && change.LastRecord.compare(e.RecordID) > 0 {
-		e.RecordID = change.LastRecord
+	if e.Presence == Departed {
+		c.identifyDeparted(e, change)
 	}
 }
 
--- a/internal/catalog/snapshot.go
+++ b/internal/catalog/snapshot.go
@@ -25,7 +25,7 @@
 // changesAfter returns the records that a host with the given state lacks. They include
 // all overrides, of which the store's positions tell nothing.
 func (c *Catalog) changesAfter(now time.Time, have Have) []Change {
-	position := have.Position
+	position, wholeHistory := have.Position, c.offersHistory(have)
 	var changes []Change
 	if c.peerKey != nil && c.peerKeyPosition.After(position) {
 		changes = append(changes, Change{Position: c.peerKeyPosition, PeerKey: c.peerKey})
@@ -39,10 +39,11 @@
 		}
 	}
 	for _, name := range slices.Sorted(maps.Keys(c.upstreams)) {
-		// An inferred departure has no store position of its own. It may carry the
+		// A host that knows less of the past lacks the departures of that time as well. An
+		// inferred departure has no store position of its own. It may carry the
 		// position that the other host has reached without it.
 		e := c.upstreams[name]
-		if e.position.After(position) || e.departureInferred && e.position == position || e.override != nil {
+		if e.position.After(position) || e.departureInferred && e.position == position || e.override != nil || wholeHistory && e.Presence == Departed {
 			changes = append(changes, upstreamChange(now, e))
 		}
 	}
@@ -68,7 +69,10 @@
 		stored = &record
 	}
 	if e.Presence != Registered {
-		return Change{Position: e.position, Override: e.override != nil, Stored: stored, Removed: e.Name, LastRecord: e.RecordID, Lapsed: e.Presence == Lapsed}
+		return Change{
+			Position: e.position, Override: e.override != nil, Stored: stored, Removed: e.Name, LastRecord: e.RecordID,
+			LastRegistration: lastRegistration(e), RemovedAge: now.Sub(e.PresenceSince), Lapsed: e.Presence == Lapsed,
+		}
 	}
 	u := e.Upstream
 	u.Warmup = max(0, e.WarmUntil.Sub(now).Truncate(time.Millisecond))
--- a/internal/flow/echo/former_test.go
+++ b/internal/flow/echo/former_test.go
@@ -105,3 +105,14 @@
 	f.token = tokenOf(1)
 	h.expectDecision(f.sendRequest(), Drop, WrongService)
 }
+
+// TestStartedHostResetsFlowsOfADepartedUpstream guards against a host that leaves callers
+// waiting because their upstream had drained and left before the host started.
+func TestStartedHostResetsFlowsOfADepartedUpstream(t *testing.T) {
+	h := newHarness(t, newEntry(1, localDC), newEntry(2, localDC))
+	f := h.newFlow(watchAddress)
+	opened := f.open()
+	h.updateUpstream(int(opened.Upstream), func(e *catalog.Entry) { e.Presence, e.Draining = catalog.Departed, true })
+	h.restart()
+	h.expectDecision(f.sendRequest(), Reset, UpstreamLeft)
+}
