settings, feed, seed: limits.flow_age; seeds tell what ended before a start

Cause: the retention of departed upstreams was a constant of 90 s, whatever the platform allows flows, and a seed told only the newest configuration and registered upstreams.

Change: limits.flow_age (default 60s, filled from bounds.max_flow_s) sets the time that a flow may stay open; former services and departures are kept for 1.5 times that. It changes while the host runs. A seed tells both as well. Its page is still forgotten with the first view from elsewhere: what a listing of the store then lacks is held until the first host with the key tells it, so nothing unauthenticated outlives the store's answer. The page is now merged at the present time instead of the zero time, so that ages count.

--- a/internal/catalog/former_services.go
+++ b/internal/catalog/former_services.go
@@ -36,23 +36,3 @@
 		f.services[address] = append(f.services[address], service)
 	}
 }
-
-// With returns the former services of f and of the other, and those that the configuration
-// before has and the one after lacks.
-func (f *FormerServices) With(other *FormerServices, before, after *Configuration) *FormerServices {
-	result := &FormerServices{services: make(map[netip.AddrPort][]string)}
-	for _, source := range []*FormerServices{f, other} {
-		if source == nil {
-			continue
-		}
-		for address, services := range source.services {
-			for _, service := range services {
-				result.add(address, service)
-			}
-		}
-	}
-	for _, key := range droppedServices(before, after) {
-		result.add(key.address, key.service)
-	}
-	return result
-}
--- a/internal/edge/host.go
+++ b/internal/edge/host.go
@@ -87,11 +87,14 @@
 	h.feed = feed.New(feed.Options{
 		Self: s.Host.ID, DataCentre: s.Host.DataCentre, Store: options.Store, Peer: h.peers.feedSource,
 		Snapshots: options.Snapshots, OnStoreRead: h.snapshots.wakeUp,
-		Timing: feed.NewTiming(s.Store.ShortestApplyWithin()), OnView: h.applyView,
+		Timing: feed.NewTiming(s.Store.ShortestApplyWithin()), Retention: catalog.RetentionOf(s.Limits.FlowAge), OnView: h.applyView,
 		Logger: options.Logger, Metrics: feedMetrics, Now: options.Now, Seed: options.Seed,
 	})
 	h.peers.catalog, h.snapshots.catalog = h.feed, h.feed
-	h.seeding = &seeding{logger: options.Logger, apply: h.serveView, requireCurrent: h.feed.RequireCurrent}
+	h.seeding = &seeding{
+		logger: options.Logger, now: options.Now, retention: catalog.RetentionOf(s.Limits.FlowAge),
+		apply: h.serveView, requireCurrent: h.feed.RequireCurrent,
+	}
 	h.forwarder, err = forward.NewEchoForwarder(forward.EchoForwarderOptions{
 		Listen: s.Listen.Packet, CallerPort: s.Listen.Packet.Port(), Codec: options.Codec, Engine: h.engine,
 		Logger: options.Logger, Registerer: h.registry, Now: options.Now, Started: options.Started,
--- a/internal/edge/reload.go
+++ b/internal/edge/reload.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 
+	"github.com/oatlatch/oatlatch/internal/catalog"
 	"github.com/oatlatch/oatlatch/internal/feed"
 	"github.com/oatlatch/oatlatch/internal/settings"
 )
@@ -26,6 +27,7 @@
 	}
 	h.settings.Store(&s)
 	h.feed.SetTiming(feed.NewTiming(s.Store.ShortestApplyWithin()))
+	h.feed.SetRetention(catalog.RetentionOf(s.Limits.FlowAge))
 	h.options.Apply(s)
 	return nil
 }
--- a/internal/edge/seeding.go
+++ b/internal/edge/seeding.go
@@ -21,6 +21,9 @@
 // callers, is neither relayed nor written, and gives way to the first view from elsewhere.
 type seeding struct {
 	logger zerolog.Logger
+	now    func() time.Time
+	// retention is how long a flow may refer to what the catalog no longer has.
+	retention time.Duration
 	// apply makes a view the one in force.
 	apply func(catalog.View)
 	// requireCurrent makes the first listing of the store one that is not stale.
@@ -70,9 +73,9 @@
 
 // serve puts the page of a seed in force, unless a view from elsewhere is.
 func (s *seeding) serve(page *catalog.Page, from netip.AddrPort) {
-	c := catalog.New(catalog.Options{})
+	c := catalog.New(catalog.Options{Retention: s.retention})
 	c.BeginListing()
-	if err := c.AddPage(time.Time{}, *page); err != nil {
+	if err := c.AddPage(s.now(), *page); err != nil {
 		s.logger.Info().Err(err).Msg("seeds_not_used")
 		return
 	}
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -63,6 +63,9 @@
 	// call each other.
 	Peer   func(catalog.Host) Source
 	Timing Timing
+	// Retention is how long the catalog keeps what only flows opened earlier refer to;
+	// zero means catalog.DefaultRetention.
+	Retention time.Duration
 	// OnView is called with each changed view once there is a configuration and either
 	// a complete listing or some upstream.
 	OnView  func(catalog.View)
@@ -127,7 +130,7 @@
 	return &Feed{
 		options: options, random: random, allowStale: true, timing: options.Timing,
 		selector: newSourceSelector(options.Self, options.DataCentre, random),
-		catalog:  catalog.New(catalog.Options{OutageThreshold: options.Timing.OutageThreshold()}),
+		catalog:  catalog.New(catalog.Options{OutageThreshold: options.Timing.OutageThreshold(), Retention: options.Retention}),
 		changed:  make(chan struct{}),
 	}
 }
--- a/internal/feed/snapshot.go
+++ b/internal/feed/snapshot.go
@@ -1,6 +1,10 @@
 package feed
 
-import "github.com/oatlatch/oatlatch/internal/catalog"
+import (
+	"time"
+
+	"github.com/oatlatch/oatlatch/internal/catalog"
+)
 
 // Snapshot returns the whole catalog for another host. It returns false while the catalog
 // is incomplete.
@@ -38,6 +42,14 @@
 	return f.catalog.Have(), f.catalog.StoredSnapshot()
 }
 
+// SetRetention replaces the time for which the catalog keeps what only flows opened earlier
+// refer to.
+func (f *Feed) SetRetention(d time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.catalog.SetRetention(d)
+}
+
 // SetStoredSnapshot records the snapshot that the store holds.
 func (f *Feed) SetStoredSnapshot(s catalog.StoredSnapshot) {
 	f.mu.Lock()
--- a/internal/seed/page.go
+++ b/internal/seed/page.go
@@ -18,12 +18,12 @@
 // ErrInvalid means that the answer of a seed cannot be used.
 var ErrInvalid = errors.New("not a page of an entry host: ask another seed")
 
-// encode packs what a host that starts may learn from the page: the configuration and the
-// upstreams.
+// encode packs what a host that starts may learn from the page: the configuration, the
+// services that earlier ones had, and the upstreams with those that departed lately.
 func encode(page *catalog.Page) ([]byte, error) {
-	shared := catalog.Page{Position: page.Position, Age: page.Age}
+	shared := catalog.Page{Position: page.Position, Age: page.Age, History: page.History}
 	for i := range page.Changes {
-		if c := &page.Changes[i]; c.Configuration != nil || c.Upstream != nil {
+		if c := &page.Changes[i]; c.Configuration != nil || c.Upstream != nil || c.Removed != "" && c.LastRegistration != nil {
 			shared.Changes = append(shared.Changes, *c)
 		}
 	}
@@ -36,7 +36,7 @@
 	if err := gobpack.Unpack(packed, &page); err != nil {
 		return catalog.Page{}, fmt.Errorf("%w: %w", ErrInvalid, err)
 	}
-	allowed := catalog.Page{Position: page.Position, Age: page.Age, Unconfirmed: true}
+	allowed := catalog.Page{Position: page.Position, Age: page.Age, History: page.History, Unconfirmed: true}
 	configured := false
 	for i := range page.Changes {
 		change := &page.Changes[i]
@@ -46,6 +46,10 @@
 			allowed.Changes = append(allowed.Changes, catalog.Change{Position: change.Position, Configuration: change.Configuration})
 		case change.Upstream != nil && change.Upstream.ID != 0 && change.Upstream.Slots > 0:
 			allowed.Changes = append(allowed.Changes, catalog.Change{Position: change.Position, Upstream: change.Upstream})
+		case change.Removed != "" && change.LastRegistration != nil && change.LastRegistration.ID != 0:
+			allowed.Changes = append(allowed.Changes, catalog.Change{
+				Position: change.Position, Removed: change.Removed, LastRegistration: change.LastRegistration, RemovedAge: change.RemovedAge,
+			})
 		}
 	}
 	if !configured || page.Position.Revision == 0 {
--- a/internal/settings/edge.go
+++ b/internal/settings/edge.go
@@ -45,7 +45,10 @@
 type EdgeLimits struct {
 	Bandwidth float64 `name:"bandwidth" default:"0" help:"Bandwidth of the host's link in Mbit/s; hosts with more serve their neighbours."`
 	Flows     int     `name:"flows" default:"131072" help:"Most flow records held."`
-	Memory    int     `name:"memory" placeholder:"MB" help:"Memory in MB that the process may use; 0 for no limit."`
+	// FlowAge is how long a flow may stay open. What concerns only flows that were opened
+	// before a change is kept for one and a half times as long.
+	FlowAge time.Duration `name:"flow-age" default:"60s" help:"Time for which a flow may stay open; former services of routes and departed upstreams are kept for 1.5 times that."`
+	Memory  int           `name:"memory" placeholder:"MB" help:"Memory in MB that the process may use; 0 for no limit."`
 }
 
 // EdgeStop configures the planned stop of an edge host.
--- a/internal/settings/edge_check.go
+++ b/internal/settings/edge_check.go
@@ -36,6 +36,7 @@
 		c.report("store", "seeds", fmt.Sprintf("%d addresses are too many", len(s.Store.Seeds)), fmt.Sprintf("write at most %d", maxSeeds))
 	}
 	c.intInRange("flows", int64(s.Limits.Flows), minFlows, maxFlows)
+	c.duration("limits", "flow_age", s.Limits.FlowAge)
 	c.intInRange("memory", int64(s.Limits.Memory), 0, maxMemoryMB)
 	if len(s.Store.ApplyWithin) == 0 {
 		c.report("store", "apply_within", "no duration is given", "write a duration such as 3s")
