catalog: two faults after a restore that the extended convergence test shows

Cause: a host that was between two pages of its first listing when the store was restored kept positions of the old epoch. It relayed its configuration under one, which its followers, who had merged the restore, took for older than what they had, and so stayed without it. And a host that follows another took over the store's outdated record of an upstream once only: if the store had a later one when both believed it after 15 s, the follower believed the former one.

Change: a first listing that is interrupted by a restore counts as one after a restore. A relayed override replaces the stored record that is known.

--- a/internal/catalog/restore.go
+++ b/internal/catalog/restore.go
@@ -12,7 +12,8 @@
 // its restores shows them by a revision that went back.
 func (c *Catalog) showsRestore(page *Page) bool {
 	if !c.Complete() {
-		return false
+		// The store was restored during the first listing.
+		return page.Position.Epoch > c.epoch && (c.configuration != nil || len(c.upstreams)+len(c.hosts) > 0)
 	}
 	return page.Position.Epoch > c.position.Epoch || page.Current && c.position.After(page.Position)
 }
@@ -88,6 +89,8 @@
 	}
 	if e.override == nil {
 		c.setOverride(now, e, change.storedOr(&e.Upstream))
+	} else if change.Stored != nil {
+		e.override.stored = *change.Stored
 	}
 	if e.Presence != Departed {
 		c.setPresence(now, e, Departed, position)
