catalog: the convergence test covers hosts that start in between

Cause: the oracle compared only what catalogs at the same position share: the newest configuration and the registered upstreams.

Change: configurations of the fake store route an address to drawn services. After each step, a catalog must allow the services of all configurations that were in force since the position that it claims to know, on the timeline of its epoch, and no other; at the end a host that has read only a listing, and then another host, must know its former services and tokens. The test found, and this changes: a source with an older configuration than its reader must not offer its history, as its own configuration may be a former one; lapsed upstreams are repeated as well; a host that has read a bare listing claims to know less than one that has run to the same position (Position.Next), so that it learns from it also right after a restore; a listing shows since when its configuration was in force, also that of another host.

--- a/internal/catalog/change.go
+++ b/internal/catalog/change.go
@@ -57,7 +57,8 @@
 	Version uint64
 	// Overrides is the number of upstreams of which the host knows more than the store.
 	Overrides int
-	// HistoryFrom is the position from which on the host knows all configurations.
+	// HistoryFrom is the position from which on the host knows all configurations in force
+	// and all removals of upstreams.
 	HistoryFrom Position
 }
 
--- a/internal/catalog/consistency_test.go
+++ b/internal/catalog/consistency_test.go
@@ -23,10 +23,11 @@
 	upstreams map[string]*Upstream
 	// copies are older states of the store.
 	copies []fakeStore
+	configurationLog
 }
 
 func newFakeStore() *fakeStore {
-	return &fakeStore{position: at(1), records: make(map[string]Change), upstreams: make(map[string]*Upstream)}
+	return &fakeStore{position: at(1), records: make(map[string]Change), upstreams: make(map[string]*Upstream), configurationLog: newConfigurationLog()}
 }
 
 // write adds or replaces the record with the key.
@@ -35,6 +36,7 @@
 	change.Position = store.position
 	store.records[key] = change
 	store.history = append(store.history, change)
+	store.timelines[store.position.Epoch] = store.history
 }
 
 // remove removes the record with the key.
@@ -69,13 +71,14 @@
 	for i := range store.history {
 		store.history[i].Position.Epoch = epoch
 	}
+	store.timelines[epoch] = store.history
 }
 
 // settle makes the operator and the upstreams write again what the store lacks, and
 // removes the records of upstreams that no longer run.
 func (store *fakeStore) settle() {
 	if stored, ok := store.records["config"]; store.version > 0 && (!ok || stored.Configuration.Version < store.version) {
-		store.write(configuration(0, store.version), "config")
+		store.write(store.configuration(store.version), "config")
 	}
 	for _, name := range slices.Sorted(maps.Keys(store.upstreams)) {
 		u := store.upstreams[name]
@@ -114,7 +117,8 @@
 		}
 	case "configure":
 		store.version++
-		store.write(configuration(0, store.version), "config")
+		store.services[store.version] = rapid.SampledFrom([]string{"", "a", "b", "c"}).Draw(t, "service")
+		store.write(store.configuration(store.version), "config")
 	case "host":
 		store.write(Change{Host: &Host{Name: name, Joined: store.position.Revision + 1}}, "host-"+name)
 	case "host-gone":
@@ -255,8 +259,9 @@
 
 // TestCatalogsConvergeFromAnySource checks that catalogs end up equal if they read
 // changes, listings and each other in random order, while the store is restored from
-// copies, that no catalog's configuration version ever decreases, and that none uses an
-// upstream again that it knew to drain or to have left, unless the store kept its record.
+// copies, that no catalog's configuration version ever decreases, that none uses an
+// upstream again that it knew to drain or to have left, unless the store kept its record,
+// and that each knows the services of all configurations of the time that it claims to know.
 func TestCatalogsConvergeFromAnySource(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		now := start
@@ -294,6 +299,7 @@
 				}
 			}
 			witnesses[i].check(t)
+			store.checkHistory(t, witnesses[i].catalog)
 		}
 		store.settle()
 		direct, relayed := witnesses[0].catalog, witnesses[1].catalog
@@ -316,6 +322,9 @@
 		store.read(direct, now, func() {})
 		follow(relayed, direct, now)
 		compareStates(t, direct, relayed, fresh)
+		started := New(Options{})
+		store.read(started, now, func() {})
+		checkStartedHost(t, store, direct, started, now)
 	})
 }
 
--- a/internal/catalog/history.go
+++ b/internal/catalog/history.go
@@ -25,8 +25,8 @@
 
 // History is what a source knows of earlier configurations.
 type History struct {
-	// From is the position from which on the source knows all configurations and all
-	// removals of upstreams. Age is the time since the store was at that position.
+	// From is the position from which on the source knows all configurations in force and
+	// all removals of upstreams. Age is the time since the store was at that position.
 	From Position
 	Age  time.Duration
 	// Former holds the former services.
@@ -35,8 +35,10 @@
 
 // historyState is what a catalog knows of earlier configurations.
 type historyState struct {
-	// historyFrom is the position from which on the catalog knows all configurations. The
-	// store had reached it at historySince.
+	// historyFrom is the position from which on the catalog knows all configurations in
+	// force. The store had reached it at historySince. A host that has just read a listing
+	// knows the configuration at the listing's position, but historyFrom is the position
+	// after it: hosts that ran before know more, also if they are at the same position.
 	historyFrom  Position
 	historySince time.Time
 	former       map[formerKey]formerEntry
@@ -178,26 +180,25 @@
 // mergeUpdateHistory records what the update tells of earlier configurations. previous is
 // the position before the update. An update of the store holds all changes after it.
 func (c *Catalog) mergeUpdateHistory(now time.Time, update *Update, previous Position) {
-	from, age := previous, time.Duration(0)
+	from, age := previous.Next(), time.Duration(0)
 	if update.History != nil {
 		from, age = update.History.From, update.History.Age
 	}
 	if previous.Revision == 0 {
-		from = update.Position // the catalog has read no listing
+		from = update.Position.Next() // the catalog has read no listing
 	}
 	c.extendHistory(now, from, age, previous, update.Position)
 }
 
-// mergeListingHistory records what a complete listing tells of earlier configurations. A
-// listing of the store shows when its configuration was written, so there was none between
-// then and the listing.
+// mergeListingHistory records what a complete listing tells of earlier configurations. Its
+// configuration was in force since it was written.
 func (c *Catalog) mergeListingHistory(now time.Time, l *listing) {
-	from, age := laterOf(l.position, l.configured), time.Duration(0)
-	switch {
-	case l.history != nil:
+	from, age := laterOf(l.position, l.configured).Next(), time.Duration(0)
+	if l.history != nil {
 		from, age = l.history.From, l.history.Age
-	case l.configured.Revision != 0 && !l.configured.After(c.position):
-		from = c.position
+	}
+	if !c.historySince.IsZero() || l.restored {
+		from = earlierOf(from, laterOf(l.configured, c.position.Next()))
 	}
 	c.extendHistory(now, from, age, c.position, l.position)
 }
@@ -207,11 +208,11 @@
 func (c *Catalog) extendHistory(now time.Time, from Position, age time.Duration, previous, to Position) {
 	since := now.Add(-max(0, age))
 	switch {
-	case previous.Revision == 0 || from.After(previous):
+	case previous.Revision == 0 || from.After(previous.Next()):
 		// Configurations between previous and from are unknown.
 		c.historyFrom, c.historySince, c.viewChanged = from, since, true
 		return
-	case c.historyFrom.After(to):
+	case c.historyFrom.After(to.Next()):
 		return // those between to and historyFrom are unknown
 	case c.historyFrom.After(from):
 		c.historyFrom = from
@@ -222,15 +223,21 @@
 }
 
 // offersHistory reports whether the catalog knows configurations that a host with the
-// given state does not.
-func (c *Catalog) offersHistory(have Have) bool {
-	return have.HistoryFrom.After(c.historyFrom) && !have.HistoryFrom.After(c.position)
+// given state does not, and all that followed.
+func (c *Catalog) offersHistory(have Have) bool { return c.Have().KnowsEarlier(have) }
+
+// KnowsEarlier reports whether a host with the state h knows configurations from before
+// those that one with the state other knows, and all that followed. With an older
+// configuration than the other host's it does not know that one of its own is a former one.
+func (h Have) KnowsEarlier(other Have) bool {
+	return h.HistoryFrom.Revision != 0 && other.HistoryFrom.After(h.HistoryFrom) &&
+		!other.HistoryFrom.After(h.Position.Next()) && h.Version >= other.Version
 }
 
 // historyFor returns the former services that a host with the given state lacks; nil if it
 // lacks none and knows all configurations since the catalog's history began.
 func (c *Catalog) historyFor(now time.Time, have Have) *History {
-	h := &History{From: laterOf(c.historyFrom, have.Position)}
+	h := &History{From: laterOf(c.historyFrom, have.Position.Next())}
 	// The positions of changes that the store has lost tell nothing of what a host knows.
 	all := have.Version < c.Version() && c.configurationOverride
 	if have.Position.Revision == 0 || c.offersHistory(have) {
@@ -242,7 +249,7 @@
 			h.Former = append(h.Former, FormerService{Address: key.address, Service: key.service, Dropped: e.dropped, Age: now.Sub(e.droppedAt)})
 		}
 	}
-	if len(h.Former) == 0 && h.From == have.Position {
+	if len(h.Former) == 0 && h.From == have.Position.Next() {
 		return nil
 	}
 	slices.SortFunc(h.Former, func(a, b FormerService) int {
--- a/internal/catalog/listing.go
+++ b/internal/catalog/listing.go
@@ -24,8 +24,8 @@
 	upstreams map[string]struct{}
 	hosts     map[string]struct{}
 	peerKey   bool
-	// configured is the position of the configuration in the pages, and history what the
-	// source knows of earlier ones.
+	// configured is the position from which on the configuration in the pages was in force,
+	// and history what the source knows of earlier ones.
 	configured Position
 	history    *History
 }
@@ -89,6 +89,9 @@
 		}
 		if change.Configuration != nil {
 			l.configured = change.Position
+			if change.Override {
+				l.configured = page.Position // the store has another one, of unknown age
+			}
 		}
 		c.applyChange(now, change)
 	}
--- a/internal/catalog/position.go
+++ b/internal/catalog/position.go
@@ -23,6 +23,17 @@
 // After reports whether p is after q.
 func (p Position) After(q Position) bool { return p.Compare(q) > 0 }
 
+// Next returns the position that follows p in its epoch.
+func (p Position) Next() Position { return Position{Epoch: p.Epoch, Revision: p.Revision + 1} }
+
+// earlierOf returns the earlier one of two positions.
+func earlierOf(p, q Position) Position {
+	if p.After(q) {
+		return q
+	}
+	return p
+}
+
 // laterOf returns the later one of two positions.
 func laterOf(p, q Position) Position {
 	if q.After(p) {
--- a/internal/catalog/restore_test.go
+++ b/internal/catalog/restore_test.go
@@ -71,7 +71,7 @@
 			listRestored(c, start, restored(40), test.found...)
 			g.Expect(presenceOf(c, "u")).To(Equal(test.presence))
 			g.Expect(c.upstreams["u"].Draining).To(Equal(test.draining))
-			g.Expect(c.Have()).To(Equal(Have{Position: restored(40), Overrides: test.overrides, HistoryFrom: restored(40)}))
+			g.Expect(c.Have()).To(Equal(Have{Position: restored(40), Overrides: test.overrides, HistoryFrom: restored(1)}))
 		})
 	}
 }
--- a/internal/catalog/snapshot.go
+++ b/internal/catalog/snapshot.go
@@ -39,11 +39,11 @@
 		}
 	}
 	for _, name := range slices.Sorted(maps.Keys(c.upstreams)) {
-		// A host that knows less of the past lacks the departures of that time as well. An
+		// A host that knows less of the past lacks the removals of that time as well. An
 		// inferred departure has no store position of its own. It may carry the
 		// position that the other host has reached without it.
 		e := c.upstreams[name]
-		if e.position.After(position) || e.departureInferred && e.position == position || e.override != nil || wholeHistory && e.Presence == Departed {
+		if e.position.After(position) || e.departureInferred && e.position == position || e.override != nil || wholeHistory && e.Presence != Registered {
 			changes = append(changes, upstreamChange(now, e))
 		}
 	}
--- a/internal/catalog/unconfirmed_test.go
+++ b/internal/catalog/unconfirmed_test.go
@@ -21,7 +21,7 @@
 	applyListing(c, start, 20, configuration(15, 4), drainingRegistration(16, "u"), registration(18, "v"))
 	c.Apply(start, Update{Position: at(22), Changes: []Change{removal(21, "u")}})
 	applySnapshot(c, start, 10, configuration(5, 3), registration(6, "u"))
-	g.Expect(c.Have()).To(Equal(Have{Position: at(22), Version: 4, HistoryFrom: at(20)}))
+	g.Expect(c.Have()).To(Equal(Have{Position: at(22), Version: 4, HistoryFrom: at(21)}))
 	g.Expect(presenceOf(c, "u")).To(Equal(Departed))
 	g.Expect(presenceOf(c, "v")).To(Equal(Registered), "the snapshot is older than the registration that it lacks")
 }
--- a/internal/feed/consult.go
+++ b/internal/feed/consult.go
@@ -33,16 +33,10 @@
 	case have.Version > own.Version || epoch > own.Position.Epoch:
 		return true
 	default:
-		return epoch == own.Position.Epoch && (have.Overrides > own.Overrides || knowsEarlier(have, own))
+		return epoch == own.Position.Epoch && (have.Overrides > own.Overrides || have.KnowsEarlier(own))
 	}
 }
 
-// knowsEarlier reports whether a host with the state have knows configurations from before
-// those that one with the state own knows, and all that followed.
-func knowsEarlier(have, own catalog.Have) bool {
-	return have.HistoryFrom.Revision != 0 && own.HistoryFrom.After(have.HistoryFrom) && !own.HistoryFrom.After(have.Position)
-}
-
 // consultFollower reads the follower that knows more than this host, if there is one. It
 // does not interrupt a listing.
 func (f *Feed) consultFollower(ctx context.Context) {
--- a/internal/feed/epoch_test.go
+++ b/internal/feed/epoch_test.go
@@ -108,7 +108,7 @@
 	f := newTestFeed(t)
 	f.poll()
 	address := netip.MustParseAddrPort("198.18.0.1:443")
-	g.Expect(f.feed.have().HistoryFrom).To(Equal(at(7)))
+	g.Expect(f.feed.have().HistoryFrom).To(Equal(at(8)))
 	f.feed.NoteFollower("a-1", catalog.Have{Position: at(6), Version: 1, HistoryFrom: at(2)})
 	f.poll()
 	g.Expect(f.peer.watches).To(BeEmpty(), "it may have missed what was written between 6 and 7")
