--- a/internal/catalog/change.go
+++ b/internal/catalog/change.go
@@ -23,6 +23,10 @@
 	// identifies its last record; it is zero if the source does not know it.
 	Removed    string
 	LastRecord RecordID
+	// LastRegistration is that upstream's last registration without its name and record
+	// ID, and RemovedAge the time since it ended. The store tells neither.
+	LastRegistration *Upstream
+	RemovedAge       time.Duration
 	// Lapsed is set together with Removed if the registration expired during a store
 	// outage, so that the upstream may register again.
 	Lapsed bool
@@ -56,7 +60,8 @@
 	// Overrides is the number of upstreams and evacuations of which the host knows more
 	// than the store.
 	Overrides int
-	// HistoryFrom is the position from which on the host knows all configurations.
+	// HistoryFrom is the position from which on the host knows all configurations in force
+	// and all removals of upstreams.
 	HistoryFrom Position
 }
 
--- a/internal/edge/seeding.go
+++ b/internal/edge/seeding.go
@@ -24,6 +24,8 @@
 	logger zerolog.Logger
 	// now returns the current time.
 	now func() time.Time
+	// retention is how long a flow may refer to what the catalog no longer has.
+	retention time.Duration
 	// apply makes a view the one in force.
 	apply func(catalog.View)
 	// requireCurrent makes the first listing of the store one that is not stale.
@@ -78,7 +80,7 @@
 
 // serve puts the page of a seed in force, unless a view from elsewhere is.
 func (s *seeding) serve(page *catalog.Page, from netip.AddrPort) {
-	c := catalog.New(catalog.Options{})
+	c := catalog.New(catalog.Options{Retention: s.retention})
 	c.BeginListing()
 	if err := c.AddPage(s.now(), *page); err != nil {
 		s.logger.Info().Err(err).Msg("seeds_not_used")
--- a/internal/feed/consult.go
+++ b/internal/feed/consult.go
@@ -33,7 +33,7 @@
 	case have.Version > own.Version || epoch > own.Position.Epoch:
 		return true
 	default:
-		return epoch == own.Position.Epoch && have.Overrides > own.Overrides
+		return epoch == own.Position.Epoch && (have.Overrides > own.Overrides || have.KnowsEarlier(own))
 	}
 }
 
--- a/internal/seed/page.go
+++ b/internal/seed/page.go
@@ -27,11 +27,14 @@
 var ErrInvalid = errors.New("not a page of an entry host: ask another seed")
 
 // encode packs what a host that starts may learn from the page: the configuration, the
-// upstreams and the evacuations in force.
+// services that earlier ones had, the upstreams with those that departed lately, and the
+// evacuations in force.
 func encode(page *catalog.Page) ([]byte, error) {
-	shared := catalog.Page{Position: page.Position, Age: page.Age}
+	shared := catalog.Page{Position: page.Position, Age: page.Age, History: page.History}
 	for i := range page.Changes {
-		if c := &page.Changes[i]; c.Configuration != nil || c.Upstream != nil || c.Evacuation != nil && !c.Evacuation.Withdrawn {
+		c := &page.Changes[i]
+		departed := c.Removed != "" && c.LastRegistration != nil
+		if c.Configuration != nil || c.Upstream != nil || departed || c.Evacuation != nil && !c.Evacuation.Withdrawn {
 			shared.Changes = append(shared.Changes, *c)
 		}
 	}
@@ -44,7 +47,7 @@
 	if err := gobpack.Unpack(packed, &page); err != nil {
 		return catalog.Page{}, fmt.Errorf("%w: %w", ErrInvalid, err)
 	}
-	allowed := catalog.Page{Position: page.Position, Age: page.Age, Unconfirmed: true}
+	allowed := catalog.Page{Position: page.Position, Age: page.Age, History: page.History, Unconfirmed: true}
 	configured, evacuations := false, 0
 	for i := range page.Changes {
 		change := &page.Changes[i]
@@ -65,6 +68,10 @@
 				Position:   position,
 				Evacuation: &catalog.EvacuationRecord{DataCentre: change.Evacuation.DataCentre, Age: max(0, change.Evacuation.Age)},
 			})
+		case change.Removed != "" && change.LastRegistration != nil && change.LastRegistration.ID != 0:
+			allowed.Changes = append(allowed.Changes, catalog.Change{
+				Position: change.Position, Removed: change.Removed, LastRegistration: change.LastRegistration, RemovedAge: change.RemovedAge,
+			})
 		}
 	}
 	if !configured || page.Position.Revision == 0 {
