echo: count recent requests by their response times

Cause: with the count of recent requests, a slow upstream got as many requests as the others while the host had none outstanding there, which is most of the time with many hosts.

Change: an answered request counts its time divided by the pool's mean, at most 8, instead of 1 (mechanism speed-weight). Answers that look failed count 1, so that failing at once earns no flows.

--- a/internal/experiment/balance_test.go
+++ b/internal/experiment/balance_test.go
@@ -43,3 +43,20 @@
 		})
 	}
 }
+
+// TestSlowUpstreamsGetTheirShare covers upstreams that are four times slower for some
+// seconds, with so many hosts that each rarely has a request outstanding at one of them.
+func TestSlowUpstreamsGetTheirShare(t *testing.T) {
+	p, err := Find("slow-upstreams")
+	if err != nil {
+		t.Fatal(err)
+	}
+	options := longFlowOptions()
+	got := Run(p, echo.LeastUsed, options)
+	options.Without = 1 << echo.SpeedWeight
+	bound := Run(p, echo.LeastUsed, options)
+	t.Logf("%d late, %d without speed weight", got.Late, bound.Late)
+	if 2*got.Late > bound.Late {
+		t.Errorf("%d late requests, want at most half of the %d without the mechanism", got.Late, bound.Late)
+	}
+}
--- a/internal/flow/echo/choose_test.go
+++ b/internal/flow/echo/choose_test.go
@@ -84,6 +84,7 @@
 	f.open()
 	for range 60 {
 		f.sendRequest()
+		h.advance(time.Millisecond)
 		f.ackResponse()
 	}
 	g.Expect(h.engine.Stats(h.now).BusiestRatio).To(BeNumerically("~", 1.5, 0.05), "90 requests at one and 30 at the other")
@@ -91,6 +92,47 @@
 	g.Expect(h.engine.Stats(h.now).BusiestRatio).To(BeZero(), "a minute later")
 }
 
+// TestShareFollowsSpeed guards against a slow upstream that gets as many flows as a quick one
+// whenever it has none outstanding, and against one that looks quick as it fails at once.
+func TestShareFollowsSpeed(t *testing.T) {
+	serve := func(h *harness, n int, took map[catalog.UpstreamID]time.Duration) map[catalog.UpstreamID]int {
+		counts := make(map[catalog.UpstreamID]int)
+		for range n {
+			f := h.newFlow(watchAddress)
+			d := f.open()
+			counts[d.Upstream]++
+			f.sendRequest()
+			h.advance(took[d.Upstream])
+			f.ackResponse()
+			f.sendFIN()
+			h.advance(10 * time.Millisecond)
+		}
+		return counts
+	}
+	g := NewWithT(t)
+	h := newHarness(t, newEntry(1, localDC), newEntry(2, localDC), newEntry(3, localDC))
+	even := map[catalog.UpstreamID]time.Duration{1: 20 * time.Millisecond, 2: 20 * time.Millisecond, 3: 20 * time.Millisecond}
+	serve(h, 100, even)
+	slow := map[catalog.UpstreamID]time.Duration{1: 80 * time.Millisecond, 2: 20 * time.Millisecond, 3: 20 * time.Millisecond}
+	serve(h, 300, slow)
+	got := serve(h, 300, slow)
+	g.Expect(got[1]).To(BeNumerically("~", 300/9, 12), "a quarter of the speed of the others")
+	g.Expect(got[2]).To(BeNumerically("~", got[3], 10))
+	serve(h, 1500, even)
+	g.Expect(serve(h, 300, even)[1]).To(BeNumerically("~", 100, 10), "once it is as quick as the others")
+}
+
+// TestFailingFastEarnsNoFlows covers an upstream whose short answers come at once.
+func TestFailingFastEarnsNoFlows(t *testing.T) {
+	g := NewWithT(t)
+	h := newHarness(t, tenUpstreams()...)
+	h.engine.options.Without = 1<<Ejection | 1<<FailedCost
+	h.learnUsualAnswers()
+	before := h.engine.upstreams[1].recent.count
+	h.failAnswers(1, 20)
+	g.Expect(h.engine.upstreams[1].recent.count).To(BeNumerically(">=", before))
+}
+
 // TestRecentRequestsOutliveTheirUnit covers a host that runs for hours: the weights of
 // requests grow with time and must not overflow.
 func TestRecentRequestsOutliveTheirUnit(t *testing.T) {
--- a/internal/flow/echo/established.go
+++ b/internal/flow/echo/established.go
@@ -84,7 +84,11 @@
 		responseTime = now.Sub(rec.requestedAt)
 		e.recordResponseTime(now, r, rec, responseTime)
 		if rec.sentRequest && !rec.overdue {
-			e.countAnswer(now, rec.upstream, r.typical.observe(responseTime, int64(size)), 1)
+			failed := r.typical.observe(responseTime, int64(size))
+			e.countAnswer(now, rec.upstream, failed, 1)
+			if !failed {
+				e.countSpeed(now, rec.upstream, responseTime)
+			}
 		}
 		rec.endRequest()
 		e.recordAnswer(now, rec.upstream)
--- a/internal/flow/echo/mechanism.go
+++ b/internal/flow/echo/mechanism.go
@@ -41,6 +41,8 @@
 	// RecentRequests prefers, of equally used upstreams, the one with the fewest of this host's
 	// recent requests.
 	RecentRequests
+	// SpeedWeight counts recent requests by their response times.
+	SpeedWeight
 
 	mechanismCount
 )
@@ -49,7 +51,7 @@
 	AdmissionQueue: "admission-queue", OverloadRefusal: "overload-refusal", DeadlineRefusal: "deadline-refusal", WarmupWeight: "warmup-weight",
 	RemotePenalty: "remote-penalty", Suspicion: "suspicion", DataCentreSuspicion: "data-centre-suspicion", HoldDown: "hold-down",
 	UnreachableReset: "unreachable-reset", PauseGrace: "pause-grace", FailedCost: "failed-cost", Ejection: "ejection",
-	OverdueRequests: "overdue-requests", SharedEvidence: "shared-evidence", RecentRequests: "recent-requests",
+	OverdueRequests: "overdue-requests", SharedEvidence: "shared-evidence", RecentRequests: "recent-requests", SpeedWeight: "speed-weight",
 }
 
 // String returns the mechanism's name.
--- a/internal/flow/echo/recent.go
+++ b/internal/flow/echo/recent.go
@@ -12,6 +12,9 @@
 	// maxRecentExponent is the exponent of the weight of a new request at which all counts
 	// are scaled down.
 	maxRecentExponent = 50
+	// maxSpeedFactor is the largest count of one request. It bounds what a single response
+	// of a long transfer does.
+	maxSpeedFactor = 8
 	// minRatioRequests is the mean number of recent requests of an upstream from which on
 	// busiestRatio is given. With fewer, chance alone makes large ratios.
 	minRatioRequests = 10
@@ -29,14 +32,31 @@
 // A request that starts later has a larger weight, so that the decay of all counts needs
 // no update.
 func (e *Engine) countRecent(now time.Time, u *upstream) {
-	exponent := now.Sub(e.recentOrigin).Seconds() / recentMemory.Seconds()
-	if exponent > maxRecentExponent {
+	if now.Sub(e.recentOrigin) > maxRecentExponent*recentMemory {
+		scale := 1 / e.recentWeight(now)
 		for _, other := range e.upstreams {
-			other.recent.count *= math.Exp(-exponent)
+			other.recent.count *= scale
 		}
-		e.recentOrigin, exponent = now, 0
+		e.recentOrigin = now
 	}
-	u.recent.count += math.Exp(exponent)
+	u.recent.count += e.recentWeight(now)
+}
+
+// countSpeed corrects the count of a request that has ended to its time relative to the
+// mean of the pool, so that a slow upstream gets fewer flows and a quick one more. Answers
+// that look failed are left out, because an upstream that fails at once would look quick.
+func (e *Engine) countSpeed(now time.Time, u *upstream, responseTime time.Duration) {
+	p := e.poolOf(u)
+	if p == nil || p.processingTime == 0 || e.options.Without.Has(SpeedWeight) {
+		return
+	}
+	factor := min(maxSpeedFactor, float64(responseTime)/float64(p.processingTime))
+	u.recent.count = max(0, u.recent.count+(factor-1)*e.recentWeight(now))
+}
+
+// recentWeight returns the weight of a request that starts now.
+func (e *Engine) recentWeight(now time.Time) float64 {
+	return math.Exp(now.Sub(e.recentOrigin).Seconds() / recentMemory.Seconds())
 }
 
 // recentPerSlot returns what LeastUsed compares among upstreams with the same cost.
@@ -92,8 +112,7 @@
 			busiest = max(busiest, u.recent.count/u.effectiveSlots(now))
 		}
 	}
-	unit := math.Exp(now.Sub(e.recentOrigin).Seconds() / recentMemory.Seconds())
-	if upstreams == 0 || total/unit < minRatioRequests*float64(upstreams) {
+	if upstreams == 0 || total/e.recentWeight(now) < minRatioRequests*float64(upstreams) {
 		return 0
 	}
 	return busiest * slots / total
