--- a/internal/flow/echo/mechanism.go
+++ b/internal/flow/echo/mechanism.go
@@ -43,6 +43,8 @@
 	RecentRequests
 	// IdleReset resets flows without a request at upstreams that have failed.
 	IdleReset
+	// SpeedWeight counts recent requests by their response times.
+	SpeedWeight
 
 	mechanismCount
 )
@@ -52,6 +54,7 @@
 	RemotePenalty: "remote-penalty", Suspicion: "suspicion", DataCentreSuspicion: "data-centre-suspicion", HoldDown: "hold-down",
 	UnreachableReset: "unreachable-reset", PauseGrace: "pause-grace", FailedCost: "failed-cost", Ejection: "ejection",
 	OverdueRequests: "overdue-requests", SharedEvidence: "shared-evidence", RecentRequests: "recent-requests", IdleReset: "idle-reset",
+	SpeedWeight: "speed-weight",
 }
 
 // String returns the mechanism's name.
