oatlatch check configuration: the check as a command

Ruled out: telling configurations from service files by kind of file, because the arguments of today's check are directories and its flags are others; a positional argument beside subcommands, which kong does not have.

Exit status 0, 1 for errors and 2 for what could not be checked; usage errors of all commands now exit with 2, where the library's 80 told scripts nothing.

--- a/cmd/oatlatch/main.go
+++ b/cmd/oatlatch/main.go
@@ -12,7 +12,7 @@
 
 // commands defines the command line of the client.
 type commands struct {
-	Check      checkCommand      `cmd:"" help:"Check service files without publishing them."`
+	Check      checkCommand      `cmd:"" help:"Check service files, or a configuration of the platform, without publishing them."`
 	Publish    publishCommand    `cmd:"" help:"Check service files and publish them to the platform."`
 	Status     statusCommand     `cmd:"" help:"Show the state of entry hosts."`
 	Explain    explainCommand    `cmd:"" help:"Explain decisions about flows, by a host or by logs."`
@@ -29,11 +29,12 @@
 		kong.Name("oatlatch"),
 		kong.Description("Operators' client of a layer-4 load balancer."),
 		kong.UsageOnError(),
+		kong.Exit(func(status int) { os.Exit(exitStatus(status)) }),
 		kong.BindTo(ctx, (*context.Context)(nil)),
 	)
 	if err := parsed.Run(); err != nil {
 		cancel()
 		printError(os.Stderr, err)
-		os.Exit(1)
+		os.Exit(exitStatusOf(err))
 	}
 }
