edge: serve the host's status at the metrics address

Cause: an operator who empties a data centre had only counters. Which request is in force and since when, which upstreams take no flows and why, and how old what a host knows is, stood in the logs alone, spread over hours.

Ruled out: the admin server of the other kind of daemon, because edge hosts have no operators' certificates and no address for it; all upstreams in the document, because after a power loss all of 3,300 are cold, and the document would hold up packets on a slow link.

Change: GET /status beside /metrics returns a JSON document. The engine tells the upstreams that are cold, draining, suspected or ejected; it now keeps the reason of a suspicion and the answers that led to an ejection, which only events had.

--- a/internal/edge/host.go
+++ b/internal/edge/host.go
@@ -188,7 +188,7 @@
 	line.Msg(event.Kind.String())
 }
 
-// serveHTTP serves readiness checks, and metrics if an address is set for them.
+// serveHTTP serves readiness checks, and metrics and the host's status if an address is set for them.
 func (h *Host) serveHTTP(ctx context.Context, group *errgroup.Group) {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+h.options.ReadyPath, h.handleReady)
@@ -200,6 +200,7 @@
 	if h.metricsListener != nil {
 		mux := http.NewServeMux()
 		mux.Handle("GET /metrics", promhttp.HandlerFor(h.registry, promhttp.HandlerOpts{}))
+		mux.HandleFunc("GET "+StatusPath, h.handleStatus)
 		serve.RunHTTP(ctx, group, newServer(mux), h.metricsListener)
 	}
 }
--- a/internal/flow/echo/ejection.go
+++ b/internal/flow/echo/ejection.go
@@ -52,6 +52,10 @@
 	until time.Time
 	// length is the length of the last ejection.
 	length time.Duration
+	// answers and failed are the numbers of answers and of failed ones that led to it, and
+	// hosts is the number of hosts that had failed ones.
+	answers, failed float32
+	hosts           int
 	// returning is set until the upstream gets its full share of new flows again.
 	returning bool
 }
@@ -268,6 +272,7 @@
 	u.ejection.length = min(maxEjection, max(initialEjection, 2*u.ejection.length))
 	u.ejection.until, u.ejection.returning = now.Add(u.ejection.length), true
 	answers, failed, hosts := u.combined(now)
+	u.ejection.answers, u.ejection.failed, u.ejection.hosts = answers, failed, hosts
 	e.report(Event{
 		Kind: Ejected, Upstream: u.Name, DataCentre: u.DataCentre, Reason: FailedAnswers, Age: u.ejection.length,
 		Answers: float64(answers), FailedAnswers: float64(failed), Hosts: hosts,
--- a/internal/flow/echo/suspicion.go
+++ b/internal/flow/echo/suspicion.go
@@ -48,6 +48,8 @@
 	lastAnswer time.Time
 	// suspectedAt is when the upstream became suspected, or zero if it is not.
 	suspectedAt time.Time
+	// suspectReason is why the upstream is suspected.
+	suspectReason Reason
 	// lastProbe is when the last probe of the suspected upstream began.
 	lastProbe time.Time
 	// holdDown is how long probes cannot clear the upstream the next time that it is
@@ -92,6 +94,7 @@
 	}
 	u.byReports = false
 	if u.suspected() {
+		u.suspectReason = Retransmissions // this host now has evidence of its own
 		return
 	}
 	e.suspect(now, u, Retransmissions)
@@ -131,7 +134,7 @@
 // suspect marks an upstream as suspected. New flows avoid it until it answers a flow,
 // a probe clears it or a new process uses its ID.
 func (e *Engine) suspect(now time.Time, u *upstream, reason Reason) {
-	u.suspectedAt, u.lastProbe, u.holdDownUntil = now, time.Time{}, now.Add(u.holdDown)
+	u.suspectedAt, u.suspectReason, u.lastProbe, u.holdDownUntil = now, reason, time.Time{}, now.Add(u.holdDown)
 	if !e.options.Without.Has(HoldDown) {
 		u.holdDown = min(maxHoldDown, max(initialHoldDown, 2*u.holdDown))
 	}
