oatlatch status: show edge hosts

Cause: `oatlatch status` knew the status of the other kind of daemon only.

Ruled out: a subcommand for edge hosts, because both kinds serve /status at the address that the operator names, and the document tells its kind.

--- a/cmd/oatlatch/main.go
+++ b/cmd/oatlatch/main.go
@@ -14,7 +14,7 @@
 type commands struct {
 	Check      checkCommand      `cmd:"" help:"Check service files, or a configuration of the platform, without publishing them."`
 	Publish    publishCommand    `cmd:"" help:"Check service files and publish them to the platform."`
-	Status     statusCommand     `cmd:"" help:"Show the state of entry hosts."`
+	Status     statusCommand     `cmd:"" help:"Show the state of entry hosts of either kind."`
 	Explain    explainCommand    `cmd:"" help:"Explain decisions about flows, by a host or by logs."`
 	Experiment experimentCommand `cmd:"" help:"Play patterns of load and faults in virtual time under each way to choose upstreams."`
 	Demo       demoCommand       `cmd:"" help:"Run the whole path in one process on loopback and check the promises."`
