--- a/internal/flow/echo/idle_reset.go
+++ b/internal/flow/echo/idle_reset.go
@@ -59,7 +59,7 @@
 		return 0
 	case u.Presence == catalog.Departed && u.Draining:
 		return UpstreamLeft
-	case u.suspected() && u.suspectedFor != UnresponsiveDataCentre && !u.evacuated && now.Sub(u.suspectedAt) >= e.silenceBeforeReset(u):
+	case u.suspected() && u.suspectReason != UnresponsiveDataCentre && !u.evacuated && now.Sub(u.suspectedAt) >= e.silenceBeforeReset(u):
 		return UnreachableIdle
 	default:
 		return 0
