edge, feed: whole hosts that start after a change; the first peer is read early

Its credentials for that call are made from the listing, a few milliseconds too late for the next call, so it watched the store and paused.

--- a/internal/edge/start_test.go
+++ b/internal/edge/start_test.go
@@ -20,6 +20,7 @@
 
 	"github.com/oatlatch/oatlatch/internal/edge"
 	"github.com/oatlatch/oatlatch/internal/settings"
+	"github.com/oatlatch/oatlatch/internal/snapshot"
 	"github.com/oatlatch/oatlatch/platform"
 	"github.com/oatlatch/oatlatch/platform/standin"
 )
@@ -119,12 +120,20 @@
 	stop            func()
 }
 
-// startHost starts a host that reads the store through a proxy of its own.
+// startHost starts a host on free ports that reads the store through a proxy of its own.
 func startHost(t *testing.T, store netip.AddrPort, name string) *startedHost {
+	t.Helper()
+	free := netip.MustParseAddrPort("127.0.0.1:0")
+	return startHostAt(t, store, name, [3]netip.AddrPort{free, free, free}, true)
+}
+
+// startHostAt starts a host at the addresses for packets, readiness checks and other hosts,
+// that reads the snapshot in the store only if withSnapshot is set.
+func startHostAt(t *testing.T, store netip.AddrPort, name string, listen [3]netip.AddrPort, withSnapshot bool) *startedHost {
 	t.Helper()
 	proxy := newCountingProxy(t, store)
 	path := filepath.Join(t.TempDir(), "edge.ini")
-	text := fmt.Sprintf("[host]\nid = %s\ndata_centre = quay\n[listen]\npacket = 127.0.0.1:0\npeer = 127.0.0.1:0\nready = 127.0.0.1:0\nmetrics =\n[store]\naddress = %s\n", name, proxy.address())
+	text := fmt.Sprintf("[host]\nid = %s\ndata_centre = quay\n[listen]\npacket = %s\nready = %s\npeer = %s\nmetrics =\n[store]\naddress = %s\n", name, listen[0], listen[1], listen[2], proxy.address())
 	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
 		t.Fatal(err)
 	}
@@ -136,8 +145,12 @@
 	h.log.onLine = func() { h.bytesUntilReady.Store(proxy.bytes.Load()) }
 	logger := zerolog.New(h.log)
 	client := platform.NewStore(s.Store.Address)
+	var snapshots snapshot.Store
+	if withSnapshot {
+		snapshots = client
+	}
 	host, err := edge.New(edge.Options{
-		Settings: s, Apply: func(settings.Edge) {}, Store: client, Snapshots: client, Registration: client, Codec: platform.Codec{},
+		Settings: s, Apply: func(settings.Edge) {}, Store: client, Snapshots: snapshots, Registration: client, Codec: platform.Codec{},
 		Check: platform.NewChecker().Check, ReadyPath: platform.ReadyPath, Logger: logger, Now: time.Now, Seed: 1,
 		Started: time.Now(), ProcessorTime: func() time.Duration { return 0 },
 	})
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -110,6 +110,8 @@
 	unpublished *catalog.View
 	// consultedAt is when a follower was last consulted.
 	consultedAt time.Time
+	// peerWaits is the number of calls of awaitPeers.
+	peerWaits int
 
 	// mu guards the fields below.
 	mu      sync.Mutex
@@ -174,6 +176,8 @@
 	if target != nil {
 		if peer := f.options.Peer(*target); peer != nil {
 			source, name = peer, target.Name
+		} else if f.awaitPeers() {
+			return peerWait
 		} else {
 			target = nil
 		}
--- a/internal/feed/feed_test.go
+++ b/internal/feed/feed_test.go
@@ -184,3 +184,30 @@
 	f.poll()
 	g.Expect(f.views[len(f.views)-1].Configuration.Version).To(BeEquivalentTo(2))
 }
+
+// TestFirstPeerIsReadOnceItCanBeCalled guards against a host that waits for the store, while
+// it holds packets, because its credentials for calls to other hosts were not ready yet.
+func TestFirstPeerIsReadOnceItCanBeCalled(t *testing.T) {
+	g := NewWithT(t)
+	f := newTestFeed(t)
+	f.feed.selector.self = "a-1"
+	ready := false
+	f.feed.options.Peer = func(catalog.Host) Source {
+		if ready {
+			return f.peer
+		}
+		return nil
+	}
+	f.poll()
+	g.Expect(f.poll()).To(Equal(peerWait))
+	g.Expect(f.store.watches).To(BeEmpty())
+	ready = true
+	f.poll()
+	g.Expect(f.peer.watches).To(HaveLen(1))
+
+	ready = false
+	for range 2 * maxPeerWaits {
+		f.poll()
+	}
+	g.Expect(f.store.watches).NotTo(BeEmpty(), "the store is read if hosts cannot call each other")
+}
