experiment: pattern route-moved

Cause: no pattern started hosts after a configuration had moved a route, so the model did not show what its open flows lose.

Change: the pattern adds upstreams of another service, moves all routes to it and restarts the hosts one after the other. Hosts know what their catalog derives from both configurations.

--- a/internal/experiment/pattern.go
+++ b/internal/experiment/pattern.go
@@ -50,6 +50,7 @@
 		{"mute", "a fifth of the upstreams runs requests without a response for six seconds", muteUpstreams},
 		{"lossy-host", "one host loses a third of its packets to upstreams", lossyHost},
 		{"slow-upstreams", "two upstreams are four times slower", slowUpstreams},
+		{"route-moved", "all routes move to another service with upstreams of its own, and then the hosts restart one after the other", routeMoved},
 		{"mass-restart", "all hosts are down for a second", massRestart},
 		{"power-loss", "all hosts are down for --outage, start one after the other within --start-spread, and know nothing for --start-delay", powerLoss},
 	}
--- a/internal/experiment/pattern_test.go
+++ b/internal/experiment/pattern_test.go
@@ -16,6 +16,10 @@
 	// patterns zone-cut and silent-upstreams.
 	minZoneCutWindowWorth = 0.95
 	minSilentWorth        = 0.98
+	// minMovedWorth and minMovedWindowWorth are those of route-moved: hosts that start
+	// without knowing earlier configurations miss both.
+	minMovedWorth       = 0.98
+	minMovedWindowWorth = 0.95
 )
 
 // TestPatterns checks that each pattern meets the users' targets. Where no balancer
@@ -24,6 +28,7 @@
 	targets := map[string]struct{ worth, window float64 }{
 		"zone-cut":         {minWorth, minZoneCutWindowWorth},
 		"silent-upstreams": {minSilentWorth, minWindowWorth},
+		"route-moved":      {minMovedWorth, minMovedWindowWorth},
 	}
 	for _, p := range Patterns() {
 		t.Run(p.Name, func(t *testing.T) {
--- a/internal/experiment/simulation.go
+++ b/internal/experiment/simulation.go
@@ -54,6 +54,7 @@
 	// loadFactor divides the think times of callers; 1 is the normal load.
 	loadFactor float64
 	recorder   *recorder
+	configured configuration
 }
 
 // hostNode is a simulated entry host.
@@ -86,6 +87,7 @@
 	sim := &simulation{
 		options: options, policy: policy, random: rand.New(rand.NewPCG(options.Seed, 1)), now: runStart,
 		byID: make(map[catalog.UpstreamID]*upstreamNode), isolated: make(map[int]bool), loadFactor: 1, recorder: newRecorder(options.Objective),
+		configured: newConfiguration(),
 	}
 	for dc := range options.DataCentres {
 		for range options.UpstreamsPerDataCentre {
@@ -169,10 +171,7 @@
 
 // updateView gives the host the configuration and the current upstreams.
 func (sim *simulation) updateView(h *hostNode) {
-	view := catalog.View{Configuration: &catalog.Configuration{Version: 1, IdleTimeout: 15 * time.Second, Routes: []catalog.Route{
-		{Name: "watch", Address: repeatableAddress, Shares: []catalog.Share{{Service: serviceName, Weight: 1}}, Repeatable: true, Priority: 2, Objective: sim.options.Objective, Timeout: sim.options.Timeout},
-		{Name: "order", Address: nonRepeatableAddress, Shares: []catalog.Share{{Service: serviceName, Weight: 1}}, Priority: 1, Objective: sim.options.Objective, Timeout: sim.options.Timeout},
-	}}}
+	view := sim.configured.view(sim)
 	for _, u := range sim.upstreams {
 		if !u.unlisted {
 			view.Upstreams = append(view.Upstreams, u.catalogEntry(sim.now))
--- a/internal/experiment/upstream.go
+++ b/internal/experiment/upstream.go
@@ -11,9 +11,10 @@
 // upstreamNode is a simulated upstream that runs requests in slots and queues
 // further ones.
 type upstreamNode struct {
-	sim  *simulation
-	id   catalog.UpstreamID
-	name string
+	sim     *simulation
+	id      catalog.UpstreamID
+	name    string
+	service string
 	// dc is the index of the upstream's data centre.
 	dc    int
 	slots int
@@ -51,7 +52,7 @@
 	number := len(sim.upstreams) + 1
 	u := &upstreamNode{
 		sim: sim, id: catalog.UpstreamID(number), name: fmt.Sprintf("i-%08x", number), dc: dc,
-		slots: sim.options.Slots, started: sim.now, cold: cold, slowdown: 1,
+		service: sim.configured.service, slots: sim.options.Slots, started: sim.now, cold: cold, slowdown: 1,
 	}
 	sim.upstreams = append(sim.upstreams, u)
 	sim.byID[u.id] = u
@@ -61,7 +62,7 @@
 // catalogEntry returns the upstream's entry in the views of hosts.
 func (u *upstreamNode) catalogEntry(now time.Time) catalog.Entry {
 	e := catalog.Entry{Presence: catalog.Registered, Upstream: catalog.Upstream{
-		ID: u.id, Name: u.name, Service: serviceName, DataCentre: dataCentreName(u.dc), Slots: u.slots, Draining: u.draining,
+		ID: u.id, Name: u.name, Service: u.service, DataCentre: dataCentreName(u.dc), Slots: u.slots, Draining: u.draining,
 		Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, byte(u.dc), byte(u.id >> 8), byte(u.id)}), 80),
 	}}
 	if u.departed {
