--- a/internal/catalog/event.go
+++ b/internal/catalog/event.go
@@ -35,6 +35,12 @@
 	// PeerKeyLost means that the store came back without the peer key, or with one that
 	// had been replaced.
 	PeerKeyLost
+	// HistoryLearned means that another host has told what it knows of earlier
+	// configurations.
+	HistoryLearned
+	// HistoryMissed means that configurations may have been in force that the catalog has
+	// not seen: the store dropped its changes, or was restored.
+	HistoryMissed
 )
 
 var eventNames = map[EventKind]string{
@@ -51,6 +57,8 @@
 	StoreRestored:        "store_restored",
 	RecordOutdated:       "record_outdated",
 	PeerKeyLost:          "peer_key_lost",
+	HistoryLearned:       "history_learned",
+	HistoryMissed:        "history_missed",
 }
 
 // String returns the kind's name as it appears in logs.
@@ -59,7 +67,7 @@
 // EventKinds returns all event kinds.
 func EventKinds() []EventKind {
 	kinds := make([]EventKind, 0, len(eventNames))
-	for k := ConfigurationAdopted; k <= PeerKeyLost; k++ {
+	for k := ConfigurationAdopted; k <= HistoryMissed; k++ {
 		kinds = append(kinds, k)
 	}
 	return kinds
@@ -68,8 +76,9 @@
 // Event describes a change to the catalog, for logging.
 type Event struct {
 	Kind EventKind
-	// Position is where the store made the change. PreviousPosition is the position of
-	// the catalog before a StoreRestored event.
+	// Position is where the store made the change, or the one from which on the catalog
+	// knows all configurations. PreviousPosition is the position of the catalog before a
+	// StoreRestored event, and the value of the latter before a HistoryLearned one.
 	Position, PreviousPosition Position
 	// Version is the version of the configuration that was adopted or refused,
 	// PreviousVersion the one that was current before the event.
@@ -78,6 +87,8 @@
 	Name, DataCentre string
 	// Service is the upstream's service.
 	Service string
+	// Former is the number of former services of routes.
+	Former int
 }
 
 // maxPendingEvents is the maximum number of events between two calls of TakeEvents.
--- a/internal/catalog/history.go
+++ b/internal/catalog/history.go
@@ -210,11 +210,17 @@
 	switch {
 	case previous.Revision == 0 || from.After(previous.Next()):
 		// Configurations between previous and from are unknown.
+		if !c.historySince.IsZero() {
+			c.recordEvent(Event{Kind: HistoryMissed, Position: from, Former: len(c.former)})
+		}
 		c.historyFrom, c.historySince, c.viewChanged = from, since, true
 		return
 	case c.historyFrom.After(to.Next()):
 		return // those between to and historyFrom are unknown
 	case c.historyFrom.After(from):
+		if from != previous.Next() {
+			c.recordEvent(Event{Kind: HistoryLearned, Position: from, PreviousPosition: c.historyFrom, Former: len(c.former)})
+		}
 		c.historyFrom = from
 	}
 	if since.Before(c.historySince) {
--- a/internal/feed/view.go
+++ b/internal/feed/view.go
@@ -33,6 +33,8 @@
 			f.options.Metrics.restores.Inc()
 			line = line.Uint64("epoch_before", e.PreviousPosition.Epoch).Uint64("revision_before", e.PreviousPosition.Revision)
 		case catalog.PeerKeyLost:
+		case catalog.HistoryLearned, catalog.HistoryMissed:
+			line = line.Uint64("epoch_before", e.PreviousPosition.Epoch).Uint64("revision_before", e.PreviousPosition.Revision).Int("former_services", e.Former)
 		case catalog.ConfigurationAdopted, catalog.ConfigurationRefused:
 			line = line.Uint64("version", e.Version).Uint64("before", e.PreviousVersion)
 		case catalog.HostJoined, catalog.HostLeft:
