--- a/internal/catalog/event.go
+++ b/internal/catalog/event.go
@@ -42,6 +42,12 @@
 	// EvacuationKept means that the store came back without a request to evacuate a data
 	// centre, or with one that had been removed, and that the catalog keeps what it knows.
 	EvacuationKept
+	// HistoryLearned means that another host has told what it knows of earlier
+	// configurations.
+	HistoryLearned
+	// HistoryMissed means that configurations may have been in force that the catalog has
+	// not seen: the store dropped its changes, or was restored.
+	HistoryMissed
 )
 
 var eventNames = map[EventKind]string{
@@ -61,6 +67,8 @@
 	EvacuationRequested:  "evacuation_requested",
 	EvacuationWithdrawn:  "evacuation_withdrawn",
 	EvacuationKept:       "evacuation_kept",
+	HistoryLearned:       "history_learned",
+	HistoryMissed:        "history_missed",
 }
 
 // String returns the kind's name as it appears in logs.
@@ -69,7 +77,7 @@
 // EventKinds returns all event kinds.
 func EventKinds() []EventKind {
 	kinds := make([]EventKind, 0, len(eventNames))
-	for k := ConfigurationAdopted; k <= EvacuationKept; k++ {
+	for k := ConfigurationAdopted; k <= HistoryMissed; k++ {
 		kinds = append(kinds, k)
 	}
 	return kinds
@@ -78,8 +86,9 @@
 // Event describes a change to the catalog, for logging.
 type Event struct {
 	Kind EventKind
-	// Position is where the store made the change. PreviousPosition is the position of
-	// the catalog before a StoreRestored event.
+	// Position is where the store made the change, or the one from which on the catalog
+	// knows all configurations. PreviousPosition is the position of the catalog before a
+	// StoreRestored event, and the value of the latter before a HistoryLearned one.
 	Position, PreviousPosition Position
 	// Version is the version of the configuration that was adopted or refused,
 	// PreviousVersion the one that was current before the event.
@@ -91,6 +100,8 @@
 	Service string
 	// Requested is set for EvacuationKept if what is kept is a request, not its removal.
 	Requested bool
+	// Former is the number of former services of routes.
+	Former int
 }
 
 // maxPendingEvents is the maximum number of events between two calls of TakeEvents.
--- a/internal/experiment/simulation.go
+++ b/internal/experiment/simulation.go
@@ -54,10 +54,11 @@
 	// loadFactor divides the think times of callers; 1 is the normal load.
 	loadFactor float64
 	// demand, if set, is the factor of the demand of a data centre at a time of the run.
-	demand   func(dc int, at time.Duration) float64
-	callers  []*caller
-	recorder *recorder
-	balance  balance
+	demand     func(dc int, at time.Duration) float64
+	callers    []*caller
+	recorder   *recorder
+	balance    balance
+	configured configuration
 }
 
 // hostNode is a simulated entry host.
@@ -90,6 +91,7 @@
 	sim := &simulation{
 		options: options, policy: policy, random: rand.New(rand.NewPCG(options.Seed, 1)), now: runStart,
 		byID: make(map[catalog.UpstreamID]*upstreamNode), isolated: make(map[int]bool), loadFactor: 1, recorder: newRecorder(options.Objective),
+		configured: newConfiguration(),
 	}
 	for dc := range options.DataCentres {
 		for range options.UpstreamsPerDataCentre {
@@ -174,10 +176,7 @@
 
 // updateView gives the host the configuration and the current upstreams.
 func (sim *simulation) updateView(h *hostNode) {
-	view := catalog.View{Configuration: &catalog.Configuration{Version: 1, IdleTimeout: 15 * time.Second, Routes: []catalog.Route{
-		{Name: "watch", Address: repeatableAddress, Shares: []catalog.Share{{Service: serviceName, Weight: 1}}, Repeatable: true, Priority: 2, Objective: sim.options.Objective, Timeout: sim.options.Timeout},
-		{Name: "order", Address: nonRepeatableAddress, Shares: []catalog.Share{{Service: serviceName, Weight: 1}}, Priority: 1, Objective: sim.options.Objective, Timeout: sim.options.Timeout},
-	}}}
+	view := sim.configured.view(sim)
 	for _, u := range sim.upstreams {
 		if !u.unlisted {
 			view.Upstreams = append(view.Upstreams, u.catalogEntry(sim.now))
--- a/internal/feed/view.go
+++ b/internal/feed/view.go
@@ -37,6 +37,8 @@
 			line = line.Str("data_centre", e.DataCentre)
 		case catalog.EvacuationKept:
 			line = line.Str("data_centre", e.DataCentre).Bool("requested", e.Requested)
+		case catalog.HistoryLearned, catalog.HistoryMissed:
+			line = line.Uint64("epoch_before", e.PreviousPosition.Epoch).Uint64("revision_before", e.PreviousPosition.Revision).Int("former_services", e.Former)
 		case catalog.ConfigurationAdopted, catalog.ConfigurationRefused:
 			line = line.Uint64("version", e.Version).Uint64("before", e.PreviousVersion)
 		case catalog.HostJoined, catalog.HostLeft:
