echo: a late copy of a SYN resets no flow that may be open

Cause: a copy of a SYN could be answered with a RST although the flow was open at a live upstream by then. Engine tests show each way: - the host forwarded the first SYN, the upstream drains or is evacuated, and the copy overtakes the caller's ACK: reset as no-upstream, evacuated or overloaded; - the flow moved here from another host (its record has no SYN): the copy was taken for a new flow, which was refused or replaced the record; - the copy reaches a host without a record of the flow: refused under overload, and while all upstreams drain or are evacuated; - a SYN waits for a slot while another copy of it opens the flow: it was refused later, or replaced the record. A copy of the SYN of an open flow was also forwarded to its upstream, which may take it for a new flow, and counted against the upstream as an unanswered flow. A copy in a partial view was reset instead of held.

Change: copies for open flows are dropped (reason already-open). While the upstream of the first SYN is registered, a copy goes elsewhere, also under overload, or is dropped. Without a record, a SYN that its caller marks as a copy does not give way to other priorities, and is dropped instead of reset for 5 s after an upstream of the route has stopped to take flows. Copies whose request would miss its deadline are still refused.

--- a/internal/flow/echo/admit.go
+++ b/internal/flow/echo/admit.go
@@ -18,8 +18,10 @@
 	admit admission = iota
 	// enqueue lets the flow wait for a slot.
 	enqueue
-	// refuse resets the flow.
+	// refuse resets the flow in favour of routes with a higher priority.
 	refuse
+	// refuseLate resets the flow because its request would miss its deadline.
+	refuseLate
 )
 
 // admissionOf decides whether a new flow with the SYN s may go to the upstream u of the
@@ -40,7 +42,7 @@
 	case float64(u.outstanding) < ownRequestsPerSlot*u.effectiveSlots(now):
 		return admit
 	case !e.options.Without.Has(DeadlineRefusal) && p.wouldTakeLonger(now, u, r.requestTimeout()-timeSinceFirstSYN(s.Ack)):
-		return refuse
+		return refuseLate
 	case e.options.Without.Has(AdmissionQueue):
 		return admit
 	default:
@@ -100,18 +102,19 @@
 	if f == nil {
 		return nil, Decision{}
 	}
+	if e.isOpen(&f.syn) {
+		return f, e.withDetail(now, Decision{Verdict: Drop, Reason: AlreadyOpen}, f.route, nil, nil)
+	}
 	u, chosen := e.selectUpstream(now, f.route, nil)
 	if u == nil {
-		return f, e.withDetail(now, Decision{Verdict: Reset, Reason: e.refusalReason(f.route)}, f.route, nil, nil)
+		return f, e.refuseUnserved(now, f.route, &f.syn)
 	}
-	switch e.admissionOf(now, chosen, f.route, u, &f.syn) {
-	case refuse:
+	admitted := e.admissionOf(now, chosen, f.route, u, &f.syn)
+	if admitted.refuses(&f.syn) {
 		return f, e.withDetail(now, Decision{Verdict: Reset, Reason: Overloaded}, f.route, u, nil)
-	case enqueue:
-		if !waitedEnough {
-			return nil, Decision{}
-		}
-	case admit:
+	}
+	if admitted == enqueue && !waitedEnough {
+		return nil, Decision{}
 	}
 	return f, e.openFlow(now, f.route, &f.syn, u)
 }
--- a/internal/flow/echo/reason.go
+++ b/internal/flow/echo/reason.go
@@ -25,9 +25,10 @@
 	// NoUpstream means that the route has no upstream that accepts new flows.
 	NoUpstream
 	// Evacuated means that the route's upstreams that could accept new flows are all in
-	// evacuated data centres, or that the packet is a late copy of the SYN of a flow that is
-	// open in one.
+	// evacuated data centres.
 	Evacuated
+	// AlreadyOpen means that the packet is a late copy of the SYN of an open flow.
+	AlreadyOpen
 	// Overloaded means that a new flow was refused in favour of routes with a higher
 	// priority, because its responses would probably miss the route's objective.
 	Overloaded
@@ -90,6 +91,7 @@
 	RouteRemoved:           "route-removed",
 	NoUpstream:             "no-upstream",
 	Evacuated:              "evacuated",
+	AlreadyOpen:            "already-open",
 	Overloaded:             "overloaded",
 	Queued:                 "queued",
 	UnknownToken:           "unknown-token",
--- a/internal/flow/echo/syn.go
+++ b/internal/flow/echo/syn.go
@@ -2,38 +2,34 @@
 
 import "time"
 
-// decideSYN decides what to do with a SYN. If the flow has a record, is not closed and
-// its SYN had the same sequence number, the packet is a retransmission.
+// decideSYN decides what to do with a SYN. It is a retransmission if the flow has a record
+// to which it belongs.
 func (e *Engine) decideSYN(now time.Time, r *route, s *Segment) Decision {
 	key := flowKey{caller: s.Caller, address: s.VirtualAddress}
 	rec := e.records[key]
-	if rec != nil && rec.sawSYN && rec.synSeq == s.Seq && rec.state != stateClosed {
+	if rec != nil && rec.hasSYN(s) {
 		d := e.decideRetransmittedSYN(now, r, rec, s)
 		d.Detail.PriorSYNs = s.Ack
 		return d
 	}
 	u, p := e.selectUpstream(now, r, nil)
 	if u == nil {
-		verdict := Reset
-		if e.partial {
-			verdict = Hold
-		}
-		return e.withDetail(now, Decision{Verdict: verdict, Reason: e.refusalReason(r)}, r, nil, nil)
+		return e.refuseUnserved(now, r, s)
 	}
 	if p.queue.find(s) != nil {
 		return Decision{Verdict: Hold, Reason: Queued}
 	}
-	switch e.admissionOf(now, p, r, u, s) {
-	case enqueue:
+	admitted := e.admissionOf(now, p, r, u, s)
+	if admitted == enqueue {
 		if e.enqueueFlow(now, p, r, s) {
 			return Decision{Verdict: Hold, Reason: Queued}
 		}
-		fallthrough
-	case refuse:
+		admitted = refuse
+	}
+	if admitted.refuses(s) {
 		return e.withDetail(now, Decision{Verdict: Reset, Reason: Overloaded}, r, u, nil)
-	default:
-		return e.openFlow(now, r, s, u)
 	}
+	return e.openFlow(now, r, s, u)
 }
 
 // openFlow forwards the SYN of a new flow to the upstream.
@@ -47,27 +43,32 @@
 	return d
 }
 
-// decideRetransmittedSYN decides what to do with a further copy of a SYN. The copy goes
-// to the same upstream as before if the flow is open, or if that upstream has answered
-// other flows since the first SYN, because then the first SYN or its answer was merely
-// lost. Otherwise it goes to another upstream if there is one. No copy goes to an upstream
-// whose data centre is evacuated: the flow waits for a slot elsewhere, or is refused, like a
-// new one. If it is open there, the copy is a late one that opens nothing.
+// decideRetransmittedSYN decides what to do with a further copy of a SYN. If the flow is
+// open, the copy is a late one and is dropped: the caller has an answer, and an upstream
+// could take the copy for a new flow. The copy goes to the same upstream as before if that
+// has answered other flows since the first SYN, because then the first SYN or its answer
+// was merely lost. Otherwise it goes to another upstream if there is one. No copy goes to
+// an upstream that accepts no flows.
+//
+// The flow may be open although this host has not seen the caller's ACK, which may still
+// be on its way or have reached another host. While its upstream may live, it is therefore
+// not reset: the copy goes elsewhere, even under overload, or is dropped.
 func (e *Engine) decideRetransmittedSYN(now time.Time, r *route, rec *flowRecord, s *Segment) Decision {
 	rec.lastSeen = now
-	e.recordRetransmission(now, rec, rec.created)
 	u := rec.upstream
-	again := e.withDetail(now, forwardTo(u, OpenedAgain), r, u, rec)
-	if u.evacuated && rec.state == stateOpen {
-		return e.withDetail(now, Decision{Verdict: Drop, Reason: Evacuated}, r, u, rec)
+	if rec.state == stateOpen {
+		return e.withDetail(now, Decision{Verdict: Drop, Reason: AlreadyOpen}, r, u, rec)
 	}
-	if rec.state == stateOpen || u.acceptsFlows() && !u.suspected() && u.lastAnswer.After(rec.created) {
+	e.recordRetransmission(now, rec, rec.created)
+	again := e.withDetail(now, forwardTo(u, OpenedAgain), r, u, rec)
+	if u.acceptsFlows() && !u.suspected() && u.lastAnswer.After(rec.created) {
 		return again
 	}
 	other, p := e.selectUpstream(now, r, u)
 	var admitted admission
 	if other != nil && other != u {
-		if admitted = e.admissionOf(now, p, r, other, s); admitted == admit {
+		admitted = e.admissionOf(now, p, r, other, s)
+		if admitted == admit || u.live() && !u.acceptsFlows() {
 			d := e.withDetail(now, forwardTo(other, OpenedElsewhere), r, u, rec)
 			rec.reassign(other)
 			e.countRecent(now, other)
@@ -78,7 +79,13 @@
 	case u.acceptsFlows():
 		return again
 	case other == nil:
-		return e.withDetail(now, Decision{Verdict: Reset, Reason: e.refusalReason(r)}, r, u, rec)
+		d := Decision{Verdict: Reset, Reason: e.refusalReason(r)}
+		if e.partial {
+			d.Verdict = Hold
+		} else if u.live() {
+			d.Verdict = Drop
+		}
+		return e.withDetail(now, d, r, u, rec)
 	case admitted == enqueue && e.enqueueFlow(now, p, r, s):
 		e.removeRecord(flowKey{caller: s.Caller, address: s.VirtualAddress}, rec)
 		return Decision{Verdict: Hold, Reason: Queued}
--- a/internal/flow/echo/upstream.go
+++ b/internal/flow/echo/upstream.go
@@ -22,6 +22,9 @@
 	local bool
 	// evacuated is set while the upstream's data centre is evacuated.
 	evacuated bool
+	// stoppedTaking is when a view first had the upstream without taking new flows, since it
+	// last took any.
+	stoppedTaking time.Time
 	// outstanding is the number of this host's flows that await a response, each
 	// counted from its SYN on.
 	outstanding int
@@ -46,6 +49,10 @@
 	return !u.Draining && u.Presence != catalog.Departed
 }
 
+// live reports whether the upstream may still serve its open flows, as far as its record
+// tells.
+func (u *upstream) live() bool { return u.Presence != catalog.Departed }
+
 // acceptsFlows reports whether new flows may go to the upstream.
 func (u *upstream) acceptsFlows() bool {
 	return u.active() && !u.evacuated
--- a/internal/flow/echo/view.go
+++ b/internal/flow/echo/view.go
@@ -87,6 +87,11 @@
 		}
 		u.local = entry.DataCentre == e.options.DataCentre
 		_, u.evacuated = e.evacuations[entry.DataCentre]
+		if u.acceptsFlows() {
+			u.stoppedTaking = time.Time{}
+		} else if u.stoppedTaking.IsZero() {
+			u.stoppedTaking = now
+		}
 		upstreams[entry.ID] = u
 		if _, taken := e.upstreamsByToken[u.token]; taken {
 			// Another upstream has the same token. Entries are sorted by name, so all
