Allowed regions of a route: configuration, settings, engine

Cause: a route's allowed_regions was not read, so its flows went to any data centre.

Change: catalog.Route has AllowedRegions, which deltas keep. The engine gives each region a bit, sets the bits of routes and upstreams when view or settings change, and passes over upstreams in other regions in the choice and in all fallbacks, for copies of SYNs and for waiting flows. A waiting flow now follows its route as it is when it is admitted; it kept the one from when it began to wait. What no allowed upstream can take is refused at once with the reason region, or evacuated if an allowed one could but for an evacuation.

Decided: an empty list is none; a data centre of unknown region is allowed for no route with a list; an upstream in another region does not count as one that could not take flows, or the count of its recent requests would be raised after each choice of a restricted route.

Not measured: the cost of the comparison for each packet.

--- a/cmd/oatlatchd/restore_test.go
+++ b/cmd/oatlatchd/restore_test.go
@@ -84,8 +84,9 @@
 }
 
 // startHost starts a host of the data centre a until the test ends. listenLines and
-// storeLines are added to these sections of its settings.
-func startHost(t *testing.T, daemon, name string, store netip.AddrPort, log *hostLog, listenLines, storeLines string) {
+// storeLines are added to these sections of its settings. It returns the path of the
+// settings file.
+func startHost(t *testing.T, daemon, name string, store netip.AddrPort, log *hostLog, listenLines, storeLines string) string {
 	t.Helper()
 	path := filepath.Join(t.TempDir(), name+".ini")
 	text := fmt.Sprintf("[host]\nid = %s\ndata_centre = a\nregion = r\n[listen]\npacket = 127.0.0.1:0\npeer = 127.0.0.1:0\n"+
@@ -116,6 +117,7 @@
 		<-done
 		_ = command.Wait() // returns an error because the process was killed
 	})
+	return path
 }
 
 // testUpstream is an upstream of which only the records exist.
--- a/internal/catalog/delta_test.go
+++ b/internal/catalog/delta_test.go
@@ -18,6 +18,8 @@
 				Address:  netip.AddrPortFrom(netip.AddrFrom4([4]byte{198, 18, 0, 1}), 8000+port),
 				Priority: rapid.IntRange(0, 2).Draw(t, "priority"),
 				Shares:   []Share{{Service: rapid.SampledFrom([]string{"a", "b"}).Draw(t, "service"), Weight: 1}},
+				// The list is nil in some, as after an encoding, which does not keep empty ones.
+				AllowedRegions: rapid.SampledFrom([][]string{nil, {"r1"}, {"r1", "r2"}}).Draw(t, "regions"),
 			})
 		}
 	}
@@ -32,7 +34,7 @@
 		got := newDelta(before, after).apply(before)
 		slices.SortFunc(got.Routes, byAddress)
 		if got.Version != 7 || !slices.EqualFunc(got.Routes, after.Routes, func(a, b Route) bool {
-			return a.Address == b.Address && a.Priority == b.Priority && slices.Equal(a.Shares, b.Shares)
+			return a.Address == b.Address && a.Priority == b.Priority && slices.Equal(a.Shares, b.Shares) && slices.Equal(a.AllowedRegions, b.AllowedRegions)
 		}) {
 			t.Fatalf("got %+v, want %+v", got, after)
 		}
--- a/internal/catalog/route.go
+++ b/internal/catalog/route.go
@@ -21,6 +21,8 @@
 	Objective time.Duration
 	// Priority ranks routes when capacity is short; 0 is the highest.
 	Priority int
+	// AllowedRegions are the regions to whose data centres new flows may go; empty for all.
+	AllowedRegions []string
 }
 
 // HasService reports whether new flows of the route go to the service.
--- a/internal/edge/host.go
+++ b/internal/edge/host.go
@@ -67,6 +67,7 @@
 		DataCentre: s.Host.DataCentre, MaxFlows: s.Limits.Flows, Seed: options.Seed, Without: options.Without, OnEvent: h.handleEvent,
 		OnEvidence: func() { h.exchange.Notify() },
 	})
+	h.engine.SetRegions(options.Now(), s.Zones)
 	h.prober = newProber(h.engine, options.Check, options.Now, options.Logger)
 	feedMetrics, err := feed.NewMetrics(h.registry)
 	if err != nil {
--- a/internal/edge/reload.go
+++ b/internal/edge/reload.go
@@ -26,6 +26,7 @@
 	}
 	h.settings.Store(&s)
 	h.feed.SetTiming(feed.NewTiming(s.Store.ShortestApplyWithin()))
+	h.engine.SetRegions(h.options.Now(), s.Zones)
 	h.options.Apply(s)
 	return nil
 }
--- a/internal/flow/echo/admit.go
+++ b/internal/flow/echo/admit.go
@@ -105,16 +105,20 @@
 	if e.isOpen(&f.syn) {
 		return f, e.withDetail(now, Decision{Verdict: Drop, Reason: AlreadyOpen}, f.route, nil, nil)
 	}
-	u, chosen := e.selectUpstream(now, f.route, nil)
+	r := e.routes[f.syn.VirtualAddress] // a configuration may have changed it
+	if r == nil {
+		return f, e.withDetail(now, e.decideUnrouted(now, &f.syn), f.route, nil, nil)
+	}
+	u, chosen := e.selectUpstream(now, r, nil)
 	if u == nil {
-		return f, e.refuseUnserved(now, f.route, &f.syn)
+		return f, e.refuseUnserved(now, r, &f.syn)
 	}
-	admitted := e.admissionOf(now, chosen, f.route, u, &f.syn)
+	admitted := e.admissionOf(now, chosen, r, u, &f.syn)
 	if admitted.refuses(&f.syn) {
-		return f, e.withDetail(now, Decision{Verdict: Reset, Reason: Overloaded}, f.route, u, nil)
+		return f, e.withDetail(now, Decision{Verdict: Reset, Reason: Overloaded}, r, u, nil)
 	}
 	if admitted == enqueue && !waitedEnough {
 		return nil, Decision{}
 	}
-	return f, e.openFlow(now, f.route, &f.syn, u)
+	return f, e.openFlow(now, r, &f.syn, u)
 }
--- a/internal/flow/echo/choose.go
+++ b/internal/flow/echo/choose.go
@@ -16,7 +16,7 @@
 func (e *Engine) selectUpstream(now time.Time, r *route, avoid *upstream) (*upstream, *pool) {
 	p := e.pools[e.pickService(r)]
 	takesFlow := func(u *upstream) bool { return isHealthy(u) && e.takesFlow(now, r, u) }
-	if u := e.chooseFromPool(now, p, avoid, takesFlow); u != nil {
+	if u := e.chooseFromPool(now, r, p, avoid, takesFlow); u != nil {
 		return u, p
 	}
 	return e.chooseFallback(now, r, takesFlow)
@@ -30,7 +30,7 @@
 	for _, eligible := range []func(*upstream) bool{takesFlow, isHealthy, isAvailable} {
 		for _, share := range r.Shares {
 			p := e.pools[share.Service]
-			if u := e.chooseFromPool(now, p, nil, eligible); u != nil {
+			if u := e.chooseFromPool(now, r, p, nil, eligible); u != nil {
 				return u, p
 			}
 		}
@@ -68,15 +68,15 @@
 }
 
 // chooseFromPool returns the eligible upstream with the lowest cost under the
-// policy, or nil.
-func (e *Engine) chooseFromPool(now time.Time, p *pool, avoid *upstream, eligible func(*upstream) bool) *upstream {
+// policy, or nil. Only those in regions that the route allows are considered.
+func (e *Engine) chooseFromPool(now time.Time, r *route, p *pool, avoid *upstream, eligible func(*upstream) bool) *upstream {
 	if p == nil {
 		return nil
 	}
 	candidates := e.candidates[:0]
 	for _, u := range p.upstreams {
 		switch {
-		case u == avoid:
+		case u == avoid || !r.allows(u):
 		case eligible(u):
 			candidates = append(candidates, u)
 		default:
--- a/internal/flow/echo/engine.go
+++ b/internal/flow/echo/engine.go
@@ -35,6 +35,7 @@
 	// sheddable is set if new flows may be refused under overload in favour of
 	// routes with a higher priority.
 	sheddable bool
+	restriction
 }
 
 // Engine decides what to do with each packet of a caller. It is safe for
@@ -74,6 +75,9 @@
 	dataCentres map[string]*dataCentreHealth
 	// evacuations holds the evacuated data centres by name.
 	evacuations map[string]evacuation
+	// regions holds the bits of regions by name, and dataCentreRegions those of the data
+	// centres' regions.
+	regions, dataCentreRegions map[string]regionSet
 	// recentOrigin is the time of a request that counts 1 in recentRequests.
 	recentOrigin time.Time
 	// suspectedCount is the number of suspected upstreams.
--- a/internal/flow/echo/evacuation.go
+++ b/internal/flow/echo/evacuation.go
@@ -86,20 +86,3 @@
 	}
 	return all
 }
-
-// refusalReason returns why no upstream can take a new flow of the route: Evacuated if one
-// could but for an evacuation.
-func (e *Engine) refusalReason(r *route) Reason {
-	for _, share := range r.Shares {
-		p := e.pools[share.Service]
-		if p == nil {
-			continue
-		}
-		for _, u := range p.upstreams {
-			if u.evacuated && u.active() {
-				return Evacuated
-			}
-		}
-	}
-	return NoUpstream
-}
--- a/internal/flow/echo/reason.go
+++ b/internal/flow/echo/reason.go
@@ -27,6 +27,9 @@
 	// Evacuated means that the route's upstreams that could accept new flows are all in
 	// evacuated data centres.
 	Evacuated
+	// Region means that the upstreams that could accept new flows are all in regions that the
+	// route does not allow.
+	Region
 	// AlreadyOpen means that the packet is a late copy of the SYN of an open flow.
 	AlreadyOpen
 	// Overloaded means that a new flow was refused in favour of routes with a higher
@@ -91,6 +94,7 @@
 	RouteRemoved:           "route-removed",
 	NoUpstream:             "no-upstream",
 	Evacuated:              "evacuated",
+	Region:                 "region",
 	AlreadyOpen:            "already-open",
 	Overloaded:             "overloaded",
 	Queued:                 "queued",
--- a/internal/flow/echo/syn.go
+++ b/internal/flow/echo/syn.go
@@ -48,7 +48,7 @@
 // could take the copy for a new flow. The copy goes to the same upstream as before if that
 // has answered other flows since the first SYN, because then the first SYN or its answer
 // was merely lost. Otherwise it goes to another upstream if there is one. No copy goes to
-// an upstream that accepts no flows.
+// an upstream that accepts no flows of the route.
 //
 // The flow may be open although this host has not seen the caller's ACK, which may still
 // be on its way or have reached another host. While its upstream may live, it is therefore
@@ -61,14 +61,15 @@
 	}
 	e.recordRetransmission(now, rec, rec.created)
 	again := e.withDetail(now, forwardTo(u, OpenedAgain), r, u, rec)
-	if u.acceptsFlows() && !u.suspected() && u.lastAnswer.After(rec.created) {
+	accepted := r.accepts(u)
+	if accepted && !u.suspected() && u.lastAnswer.After(rec.created) {
 		return again
 	}
 	other, p := e.selectUpstream(now, r, u)
 	var admitted admission
 	if other != nil && other != u {
 		admitted = e.admissionOf(now, p, r, other, s)
-		if admitted == admit || u.live() && !u.acceptsFlows() {
+		if admitted == admit || u.live() && !accepted {
 			d := e.withDetail(now, forwardTo(other, OpenedElsewhere), r, u, rec)
 			rec.reassign(other)
 			e.countRecent(now, other)
@@ -76,7 +77,7 @@
 		}
 	}
 	switch {
-	case u.acceptsFlows():
+	case accepted:
 		return again
 	case other == nil:
 		d := Decision{Verdict: Reset, Reason: e.refusalReason(r)}
--- a/internal/flow/echo/syn_copy.go
+++ b/internal/flow/echo/syn_copy.go
@@ -55,7 +55,7 @@
 	for _, share := range r.Shares {
 		if p := e.pools[share.Service]; p != nil {
 			for _, u := range p.upstreams {
-				if u.live() && !u.acceptsFlows() && now.Sub(u.stoppedTaking) < recentlyTakingFlows {
+				if u.live() && !r.accepts(u) && now.Sub(latest(u.stoppedTaking, r.changed)) < recentlyTakingFlows {
 					return true
 				}
 			}
@@ -64,6 +64,14 @@
 	return false
 }
 
+// latest returns the later of two times.
+func latest(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 // isOpen reports whether the flow of the waiting SYN has been opened by another copy of it.
 func (e *Engine) isOpen(s *Segment) bool {
 	rec := e.records[flowKey{caller: s.Caller, address: s.VirtualAddress}]
--- a/internal/flow/echo/upstream.go
+++ b/internal/flow/echo/upstream.go
@@ -25,6 +25,9 @@
 	// stoppedTaking is when a view first had the upstream without taking new flows, since it
 	// last took any.
 	stoppedTaking time.Time
+	// region has the bit of the region of the upstream's data centre, or none if that is
+	// unknown.
+	region regionSet
 	// outstanding is the number of this host's flows that await a response, each
 	// counted from its SYN on.
 	outstanding int
--- a/internal/flow/echo/view.go
+++ b/internal/flow/echo/view.go
@@ -17,6 +17,7 @@
 	e.former, e.historyCompleteAt = view.Former, view.HistoryCompleteAt
 	if c := view.Configuration; c != nil && c.Version != e.version {
 		e.applyConfiguration(c)
+		e.restrictRoutes(now, false)
 	}
 	began, ended := e.setEvacuations(now, view.Evacuations)
 	e.setUpstreams(now, view.Upstreams)
@@ -35,7 +36,7 @@
 	for _, configured := range c.Routes {
 		r := &route{Route: configured, typical: &typicalAnswer{}}
 		if old := e.routes[configured.Address]; old != nil {
-			r.typical = old.typical
+			r.typical, r.restriction = old.typical, old.restriction
 		}
 		routes[configured.Address] = r
 	}
@@ -86,6 +87,7 @@
 			e.dataCentres[entry.DataCentre] = &dataCentreHealth{}
 		}
 		u.local = entry.DataCentre == e.options.DataCentre
+		u.region = e.dataCentreRegions[entry.DataCentre]
 		_, u.evacuated = e.evacuations[entry.DataCentre]
 		if u.acceptsFlows() {
 			u.stoppedTaking = time.Time{}
--- a/internal/settings/edge.go
+++ b/internal/settings/edge.go
@@ -18,6 +18,9 @@
 	Limits EdgeLimits `embed:"" prefix:"limits-"`
 	Stop   EdgeStop   `embed:"" prefix:"stop-"`
 	Log    EdgeLog    `embed:"" prefix:"log-"`
+	// Zones holds the region of each data centre. It is the section of its name, in which
+	// each key is a data centre.
+	Zones map[string]string `name:"zones" mapsep:"," placeholder:"DATA-CENTRE=REGION" help:"Region of each data centre; a route with allowed regions keeps to data centres in them."`
 }
 
 // EdgeListen holds the addresses on which an edge host listens.
--- a/internal/settings/edge_check.go
+++ b/internal/settings/edge_check.go
@@ -50,6 +50,7 @@
 	c.positive("log", "lines_per_second", s.Log.LinesPerSecond)
 	c.positive("log", "bytes_per_second", s.Log.BytesPerSecond)
 	c.duration("stop", "time_limit", s.Stop.TimeLimit)
+	c.zones(s.Zones)
 	return c.problems.Err()
 }
 
--- a/internal/settings/print.go
+++ b/internal/settings/print.go
@@ -15,7 +15,7 @@
 	currentSection := ""
 	for _, flag := range flags {
 		section, key, ok := splitFlagName(flag.Name)
-		if !ok {
+		if !ok && !flag.IsMap() {
 			continue
 		}
 		if section != currentSection {
@@ -25,7 +25,11 @@
 			fmt.Fprintf(&text, "[%s]\n", section)
 			currentSection = section
 		}
-		fmt.Fprintf(&text, "; %s\n%s\n", flag.Help, assignment(key, flag))
+		line := assignment(key, flag)
+		if !ok { // the section has keys of any name
+			line = "; " + strings.Replace(flag.PlaceHolder, "=", " = ", 1)
+		}
+		fmt.Fprintf(&text, "; %s\n%s\n", flag.Help, line)
 	}
 	if _, err := io.WriteString(w, text.String()); err != nil {
 		return fmt.Errorf("cannot print the settings: %w", err)
--- a/internal/settings/resolver.go
+++ b/internal/settings/resolver.go
@@ -46,14 +46,32 @@
 	for _, flag := range flags {
 		if section, key, ok := splitFlagName(flag.Name); ok {
 			r.file.Section(section, false).Value(key)
+		} else if flag.IsMap() {
+			r.values(flag.Name)
 		}
 	}
 }
 
-// Resolve returns the value that the file sets for a flag, or nil if it sets none. Flags
-// on the command line take precedence.
+// values returns all keys of a section with their values, and marks them as known.
+func (r *resolver) values(section string) map[string]any {
+	s := r.file.Section(section, false)
+	values := make(map[string]any)
+	for _, key := range s.Keys() {
+		values[key], _ = s.Value(key)
+	}
+	return values
+}
+
+// Resolve returns the value that the file sets for a flag, or nil if it sets none. A flag
+// with a map, which has the name of a section alone, gets the whole section. Flags on the
+// command line take precedence.
 func (r *resolver) Resolve(_ *kong.Context, _ *kong.Path, flag *kong.Flag) (any, error) {
 	section, key, ok := splitFlagName(flag.Name)
+	if !ok && flag.IsMap() {
+		if values := r.values(flag.Name); len(values) > 0 {
+			return values, nil
+		}
+	}
 	if !ok {
 		return nil, nil
 	}
@@ -64,8 +82,8 @@
 }
 
 // splitFlagName returns the section and key of a flag: limits and request_body for
-// limits-request-body. ok is false for a flag without a section, which cannot be set
-// in a file.
+// limits-request-body. ok is false for a flag without a section, which can be set in a file
+// only if it has a map.
 func splitFlagName(flag string) (section, key string, ok bool) {
 	section, key, ok = strings.Cut(flag, "-")
 	return section, strings.ReplaceAll(key, "-", "_"), ok
