--- a/internal/edge/reload.go
+++ b/internal/edge/reload.go
@@ -28,6 +28,7 @@
 	h.settings.Store(&s)
 	h.feed.SetTiming(feed.NewTiming(s.Store.ShortestApplyWithin()))
 	h.feed.SetRetention(catalog.RetentionOf(s.Limits.FlowAge))
+	h.engine.SetRegions(h.options.Now(), s.Zones)
 	h.options.Apply(s)
 	return nil
 }
--- a/internal/flow/echo/reason.go
+++ b/internal/flow/echo/reason.go
@@ -25,9 +25,13 @@
 	// NoUpstream means that the route has no upstream that accepts new flows.
 	NoUpstream
 	// Evacuated means that the route's upstreams that could accept new flows are all in
-	// evacuated data centres, or that the packet is a late copy of the SYN of a flow that is
-	// open in one.
+	// evacuated data centres.
 	Evacuated
+	// Region means that the upstreams that could accept new flows are all in regions that the
+	// route does not allow.
+	Region
+	// AlreadyOpen means that the packet is a late copy of the SYN of an open flow.
+	AlreadyOpen
 	// Overloaded means that a new flow was refused in favour of routes with a higher
 	// priority, because its responses would probably miss the route's objective.
 	Overloaded
@@ -93,6 +97,8 @@
 	RouteRemoved:           "route-removed",
 	NoUpstream:             "no-upstream",
 	Evacuated:              "evacuated",
+	Region:                 "region",
+	AlreadyOpen:            "already-open",
 	Overloaded:             "overloaded",
 	Queued:                 "queued",
 	UnknownToken:           "unknown-token",
