--- a/internal/catalog/evacuation_test.go
+++ b/internal/catalog/evacuation_test.go
@@ -1,8 +1,8 @@
 package catalog
 
 import (
-	"slices"
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
