warmup: a core for permissions to open flows at cold upstreams

Cause: nothing keeps the opening packets to an upstream that warms up within a budget that all hosts share.

Ruled out: equal shares of hosts (with a budget of 20 and 30 hosts each has less than one packet a second, and hosts that do not know each other do not stay within the sum), time slots (no common clock), one permission for each upstream (a lost holder costs all of its budget, and a service whose upstreams are all cold is served by few hosts).

Change: internal/warmup.

--- a/internal/corecheck/corecheck.go
+++ b/internal/corecheck/corecheck.go
@@ -6,5 +6,5 @@
 // A directory that does not exist is skipped.
 var CorePackages = []string{
 	"admission", "catalog", "config", "evidence", "experiment", "flow/echo", "flow", "health", "host", "limit", "slottable",
-	"membership", "packet", "publish", "service", "snapshot", "ticket",
+	"membership", "packet", "publish", "service", "snapshot", "ticket", "warmup",
 }
