catalog, platform, settings: figures of warm-up

Cause: warmup_s and warmup_per_s of a service were not read, the settings had no overage and slack, and an upstream counted as cold for as long as its first record said, also when a later record said that it is warm.

The defaults (overage 1, slack 0) allow no more than the configuration says. A later record of the same process that says 0 ends its warm-up.

--- a/internal/catalog/delta.go
+++ b/internal/catalog/delta.go
@@ -19,14 +19,15 @@
 	// Changed holds new and modified routes, Removed the addresses of deleted ones.
 	Changed []Route
 	Removed []netip.AddrPort
-	// HealthPaths and IdleTimeout are complete and replace those of the base.
+	// HealthPaths, Warmups and IdleTimeout are complete and replace those of the base.
 	HealthPaths map[string]string
+	Warmups     map[string]Warmup
 	IdleTimeout time.Duration
 }
 
 // newDelta returns the delta that turns base into target.
 func newDelta(base, target *Configuration) *Delta {
-	d := &Delta{Base: base.Version, Version: target.Version, HealthPaths: target.HealthPaths, IdleTimeout: target.IdleTimeout}
+	d := &Delta{Base: base.Version, Version: target.Version, HealthPaths: target.HealthPaths, Warmups: target.Warmups, IdleTimeout: target.IdleTimeout}
 	baseRoutes := make(map[netip.AddrPort]*Route, len(base.Routes))
 	for i := range base.Routes {
 		baseRoutes[base.Routes[i].Address] = &base.Routes[i]
@@ -54,7 +55,7 @@
 	for _, address := range d.Removed {
 		replaced[address] = struct{}{}
 	}
-	result := &Configuration{Version: d.Version, HealthPaths: d.HealthPaths, IdleTimeout: d.IdleTimeout}
+	result := &Configuration{Version: d.Version, HealthPaths: d.HealthPaths, Warmups: d.Warmups, IdleTimeout: d.IdleTimeout}
 	for _, r := range base.Routes {
 		if _, overridden := replaced[r.Address]; !overridden {
 			result.Routes = append(result.Routes, r)
--- a/internal/catalog/delta_test.go
+++ b/internal/catalog/delta_test.go
@@ -1,6 +1,7 @@
 package catalog
 
 import (
+	"maps"
 	"net/netip"
 	"slices"
 	"testing"
@@ -12,6 +13,9 @@
 // drawn configurations overlap.
 func drawConfiguration(t *rapid.T, version uint64) *Configuration {
 	c := &Configuration{Version: version, HealthPaths: map[string]string{"desk": "/health"}}
+	if rapid.Bool().Draw(t, "warms up") {
+		c.Warmups = map[string]Warmup{"a": {PerSecond: float64(rapid.IntRange(1, 3).Draw(t, "per second"))}}
+	}
 	for port := range uint16(8) {
 		if rapid.Bool().Draw(t, "has") {
 			c.Routes = append(c.Routes, Route{
@@ -31,7 +35,7 @@
 		before, after := drawConfiguration(t, 3), drawConfiguration(t, 7)
 		got := newDelta(before, after).apply(before)
 		slices.SortFunc(got.Routes, byAddress)
-		if got.Version != 7 || !slices.EqualFunc(got.Routes, after.Routes, func(a, b Route) bool {
+		if got.Version != 7 || !maps.Equal(got.Warmups, after.Warmups) || !slices.EqualFunc(got.Routes, after.Routes, func(a, b Route) bool {
 			return a.Address == b.Address && a.Priority == b.Priority && slices.Equal(a.Shares, b.Shares)
 		}) {
 			t.Fatalf("got %+v, want %+v", got, after)
--- a/internal/catalog/registration.go
+++ b/internal/catalog/registration.go
@@ -40,8 +40,13 @@
 	if e.Presence != Registered {
 		e.Presence, e.PresenceSince = Registered, now
 	}
-	if u.Warmup > 0 && now.Add(u.Warmup).After(e.WarmUntil) {
+	switch {
+	case u.Warmup > 0 && now.Add(u.Warmup).After(e.WarmUntil):
 		e.WarmUntil = now.Add(u.Warmup)
+	case u.Warmup == 0 && now.Before(e.WarmUntil) && u.Started.Equal(e.Started) && u.compare(e.RecordID) > 0:
+		// A later record of the same process says that it is warm.
+		e.WarmUntil = now
+		c.viewChanged = true
 	}
 	e.Upstream, e.position = *u, position
 	e.departureInferred, e.beforeRestore, e.settled = false, false, false
--- a/internal/edge/reloader_test.go
+++ b/internal/edge/reloader_test.go
@@ -122,3 +122,15 @@
 		}
 	}
 }
+
+// TestWarmupSettings guards against a settings file that is refused because the platform
+// has no figures for warm-up, which leaves the section empty.
+func TestWarmupSettings(t *testing.T) {
+	g := NewWithT(t)
+	s, err := settings.LoadEdge(writeTempSettings(t, testSettings+"\n[warmup]\n"))
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(s.Warmup).To(Equal(settings.EdgeWarmup{Overage: 1}))
+	s, err = settings.LoadEdge(writeTempSettings(t, testSettings+"\n[warmup]\noverage = 1.5\nslack = 5\n"))
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(s.Warmup).To(Equal(settings.EdgeWarmup{Overage: 1.5, Slack: 5}))
+}
--- a/internal/settings/edge.go
+++ b/internal/settings/edge.go
@@ -16,6 +16,7 @@
 	Listen EdgeListen `embed:"" prefix:"listen-"`
 	Store  Store      `embed:"" prefix:"store-"`
 	Limits EdgeLimits `embed:"" prefix:"limits-"`
+	Warmup EdgeWarmup `embed:"" prefix:"warmup-"`
 	Stop   EdgeStop   `embed:"" prefix:"stop-"`
 	Log    EdgeLog    `embed:"" prefix:"log-"`
 }
--- a/internal/settings/edge_check.go
+++ b/internal/settings/edge_check.go
@@ -47,6 +47,7 @@
 	if !(s.Limits.Bandwidth >= 0 && s.Limits.Bandwidth <= maxBandwidth) {
 		c.report("limits", "bandwidth", fmt.Sprintf("%g is out of range", s.Limits.Bandwidth), fmt.Sprintf("write 0 to %g Mbit/s", float64(maxBandwidth)))
 	}
+	s.Warmup.check(c)
 	c.positive("log", "lines_per_second", s.Log.LinesPerSecond)
 	c.positive("log", "bytes_per_second", s.Log.BytesPerSecond)
 	c.duration("stop", "time_limit", s.Stop.TimeLimit)
--- a/internal/settings/edge_check_test.go
+++ b/internal/settings/edge_check_test.go
@@ -31,6 +31,8 @@
 		{"negative bandwidth", func(s *Edge) { s.Limits.Bandwidth = -1 }, "limits.bandwidth"},
 		{"bandwidth that is no number", func(s *Edge) { s.Limits.Bandwidth = math.NaN() }, "limits.bandwidth"},
 		{"infinite bandwidth", func(s *Edge) { s.Limits.Bandwidth = math.Inf(1) }, "limits.bandwidth"},
+		{"negative warm-up overage", func(s *Edge) { s.Warmup.Overage = -1 }, "warmup.overage"},
+		{"warm-up slack that is no number", func(s *Edge) { s.Warmup.Slack = math.NaN() }, "warmup.slack"},
 		{"no history", func(s *Edge) { s.Store.History = 0 }, "store.history"},
 		{"no time to apply", func(s *Edge) { s.Store.ApplyWithin = nil }, "store.apply_within"},
 	}
