echo: keep opening packets to cold upstreams within a permission

Ruled out: a test in takesFlow alone, because the fallbacks of the choice (ejected and suspected upstreams) do not pass it.

Change: chooseFromPool, through which every choice goes, asks the gate of Options.Warmup for upstreams of services with warmup_per_s that are still cold. Every SYN that is sent to such an upstream is counted: the first, its copies and probes of a suspected one. A flow is refused at once with the reason warming-up if only warm-up keeps it from its upstreams. A copy of a SYN is dropped, not reset, because the flow may be open.

--- a/internal/flow/echo/admit.go
+++ b/internal/flow/echo/admit.go
@@ -102,7 +102,7 @@
 	}
 	u, chosen := e.selectUpstream(now, f.route, nil)
 	if u == nil {
-		return f, e.withDetail(now, Decision{Verdict: Reset, Reason: NoUpstream}, f.route, nil, nil)
+		return f, e.withDetail(now, Decision{Verdict: Reset, Reason: e.noUpstreamReason(now, f.route)}, f.route, nil, nil)
 	}
 	switch e.admissionOf(now, chosen, f.route, u, &f.syn) {
 	case refuse:
--- a/internal/flow/echo/choose.go
+++ b/internal/flow/echo/choose.go
@@ -75,7 +75,7 @@
 	}
 	candidates := e.candidates[:0]
 	for _, u := range p.upstreams {
-		if u != avoid && eligible(u) {
+		if u != avoid && eligible(u) && e.withinWarmup(now, u) {
 			candidates = append(candidates, u)
 		}
 	}
--- a/internal/flow/echo/engine.go
+++ b/internal/flow/echo/engine.go
@@ -63,7 +63,9 @@
 	// removedRoutes are the addresses of routes that a later configuration removed.
 	removedRoutes map[netip.AddrPort]struct{}
 	// healthPaths are the paths of health checks by service.
-	healthPaths      map[string]string
+	healthPaths map[string]string
+	// warmups are the configured warm-ups by service.
+	warmups          map[string]catalog.Warmup
 	upstreams        map[catalog.UpstreamID]*upstream
 	upstreamsByToken map[Token]*upstream
 	pools            map[string]*pool
--- a/internal/flow/echo/harness_test.go
+++ b/internal/flow/echo/harness_test.go
@@ -32,6 +32,7 @@
 	upstreams []catalog.Entry
 	routes    []catalog.Route
 	version   uint64
+	warmups   map[string]catalog.Warmup
 	events    []Event
 	flowCount int
 	// otherServiceFlow is the flow that completeOtherServiceRequest uses.
@@ -61,7 +62,7 @@
 // applyView passes the harness's configuration and upstreams to its engine.
 func (h *harness) applyView() {
 	h.engine.SetView(h.now, catalog.View{
-		Configuration: &catalog.Configuration{Version: h.version, Routes: h.routes, IdleTimeout: 15 * time.Second},
+		Configuration: &catalog.Configuration{Version: h.version, Routes: h.routes, Warmups: h.warmups, IdleTimeout: 15 * time.Second},
 		Upstreams:     h.upstreams,
 	})
 }
--- a/internal/flow/echo/mechanism.go
+++ b/internal/flow/echo/mechanism.go
@@ -38,6 +38,8 @@
 	OverdueRequests
 	// SharedEvidence uses the evidence of other hosts.
 	SharedEvidence
+	// WarmupBudget limits the opening packets to upstreams that warm up.
+	WarmupBudget
 
 	mechanismCount
 )
@@ -46,7 +48,7 @@
 	AdmissionQueue: "admission-queue", OverloadRefusal: "overload-refusal", DeadlineRefusal: "deadline-refusal", WarmupWeight: "warmup-weight",
 	RemotePenalty: "remote-penalty", Suspicion: "suspicion", DataCentreSuspicion: "data-centre-suspicion", HoldDown: "hold-down",
 	UnreachableReset: "unreachable-reset", PauseGrace: "pause-grace", FailedCost: "failed-cost", Ejection: "ejection",
-	OverdueRequests: "overdue-requests", SharedEvidence: "shared-evidence",
+	OverdueRequests: "overdue-requests", SharedEvidence: "shared-evidence", WarmupBudget: "warmup-budget",
 }
 
 // String returns the mechanism's name.
--- a/internal/flow/echo/options.go
+++ b/internal/flow/echo/options.go
@@ -27,6 +27,8 @@
 	// OnEvidence, if set, is called when there is new evidence that an upstream has failed.
 	// It must not block or call the engine, whose lock is held.
 	OnEvidence func()
+	// Warmup limits the opening packets to upstreams that warm up.
+	Warmup WarmupLimits
 	// Seed seeds the engine's random number generator.
 	Seed uint64
 }
--- a/internal/flow/echo/probe.go
+++ b/internal/flow/echo/probe.go
@@ -19,7 +19,8 @@
 
 // DueProbes returns the probes to start now. A suspected upstream that accepts new
 // flows is probed every probeInterval, unless this host has no evidence of its own: the
-// hosts that have some probe it.
+// hosts that have some probe it. A probe of an upstream that warms up counts as an opening
+// packet.
 func (e *Engine) DueProbes(now time.Time) []Probe {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -28,7 +29,7 @@
 	}
 	var due []Probe
 	for _, u := range e.upstreams {
-		if u.suspected() && (!u.byReports || u.unansweredFlows > 0) && u.acceptsFlows() && now.Sub(u.lastProbe) >= probeInterval {
+		if u.suspected() && (!u.byReports || u.unansweredFlows > 0) && u.acceptsFlows() && now.Sub(u.lastProbe) >= probeInterval && e.spendWarmup(now, u) {
 			u.lastProbe = now
 			due = append(due, Probe{Upstream: u.ID, Name: u.Name, Address: u.Address, HealthPath: e.healthPaths[u.Service]})
 		}
--- a/internal/flow/echo/reason.go
+++ b/internal/flow/echo/reason.go
@@ -24,6 +24,9 @@
 	RouteRemoved
 	// NoUpstream means that the route has no upstream that accepts new flows.
 	NoUpstream
+	// WarmingUp means that every upstream that accepts new flows of the route is cold, and
+	// this host may not send it an opening packet now.
+	WarmingUp
 	// Overloaded means that a new flow was refused in favour of routes with a higher
 	// priority, because its responses would probably miss the route's objective.
 	Overloaded
@@ -85,6 +88,7 @@
 	NoRoute:                "no-route",
 	RouteRemoved:           "route-removed",
 	NoUpstream:             "no-upstream",
+	WarmingUp:              "warming-up",
 	Overloaded:             "overloaded",
 	Queued:                 "queued",
 	UnknownToken:           "unknown-token",
--- a/internal/flow/echo/syn.go
+++ b/internal/flow/echo/syn.go
@@ -18,7 +18,7 @@
 		if e.partial {
 			verdict = Hold
 		}
-		return e.withDetail(now, Decision{Verdict: verdict, Reason: NoUpstream}, r, nil, nil)
+		return e.withDetail(now, Decision{Verdict: verdict, Reason: e.noUpstreamReason(now, r)}, r, nil, nil)
 	}
 	if p.queue.find(s) != nil {
 		return Decision{Verdict: Hold, Reason: Queued}
@@ -38,6 +38,10 @@
 
 // openFlow forwards the SYN of a new flow to the upstream.
 func (e *Engine) openFlow(now time.Time, r *route, s *Segment, u *upstream) Decision {
+	if !e.spendWarmup(now, u) {
+		// The permission has ended since the upstream was chosen.
+		return e.withDetail(now, Decision{Verdict: Reset, Reason: WarmingUp}, r, u, nil)
+	}
 	key := flowKey{caller: s.Caller, address: s.VirtualAddress}
 	rec := &flowRecord{upstream: u, sawSYN: true, synSeq: s.Seq, nextSeq: s.Seq + 1, created: now, lastSeen: now, requestTimeout: r.Timeout}
 	e.storeRecord(key, rec)
@@ -54,19 +58,28 @@
 	rec.lastSeen = now
 	e.recordRetransmission(now, rec, rec.created)
 	u := rec.upstream
-	again := e.withDetail(now, forwardTo(u, OpenedAgain), r, u, rec)
 	if rec.state == stateOpen || u.acceptsFlows() && !u.suspected() && u.lastAnswer.After(rec.created) {
-		return again
+		return e.openAgain(now, r, rec)
 	}
 	other, p := e.selectUpstream(now, r, u)
 	switch {
-	case other != nil && other != u && e.admissionOf(now, p, r, other, s) == admit:
+	case other != nil && other != u && e.admissionOf(now, p, r, other, s) == admit && e.spendWarmup(now, other):
 		d := e.withDetail(now, forwardTo(other, OpenedElsewhere), r, u, rec)
 		rec.reassign(other)
 		return d
 	case u.acceptsFlows():
-		return again
+		return e.openAgain(now, r, rec)
 	default:
 		return e.withDetail(now, Decision{Verdict: Reset, Reason: NoUpstream}, r, u, rec)
 	}
 }
+
+// openAgain forwards a further copy of a SYN to the same upstream. The copy is dropped if
+// the upstream warms up and must get no opening packet now: the flow may be open there, so
+// that a reset would break it, and the caller sends another copy if it is not.
+func (e *Engine) openAgain(now time.Time, r *route, rec *flowRecord) Decision {
+	if !e.spendWarmup(now, rec.upstream) {
+		return e.withDetail(now, Decision{Verdict: Drop, Reason: WarmingUp}, r, rec.upstream, rec)
+	}
+	return e.withDetail(now, forwardTo(rec.upstream, OpenedAgain), r, rec.upstream, rec)
+}
--- a/internal/flow/echo/upstream.go
+++ b/internal/flow/echo/upstream.go
@@ -18,6 +18,8 @@
 	reported   evidence.Entry
 	reportedAt time.Time
 	token      Token
+	// seen is the current process.
+	seen processSeen
 	// local is set if the upstream is in the host's own data centre.
 	local bool
 	// outstanding is the number of this host's flows that await a response, each
--- a/internal/flow/echo/view.go
+++ b/internal/flow/echo/view.go
@@ -24,7 +24,7 @@
 // removed routes.
 func (e *Engine) applyConfiguration(c *catalog.Configuration) {
 	e.version = c.Version
-	e.healthPaths = c.HealthPaths
+	e.healthPaths, e.warmups = c.HealthPaths, c.Warmups
 	e.idleTimeout = defaultIdleTimeout
 	if c.IdleTimeout > 0 {
 		e.idleTimeout = c.IdleTimeout
@@ -84,6 +84,7 @@
 			u.holdDown = 0
 			u.ejection, u.counts = ejection{}, answerCounts{}
 		}
+		u.noteProcess(now, &entry)
 		u.Entry = entry
 		if e.options.Without.Has(WarmupWeight) {
 			u.WarmUntil = time.Time{}
