edge, platform: share the budgets of cold upstreams through the store

Cause: the core for permissions and the gate of the engine were not connected, and the core's constants cost more than they gave.

Budgets have eight shares, leases last 8 s, a second host tries for each share, and shares without a packet are not asked for.

--- a/cmd/oatlatchd/edge.go
+++ b/cmd/oatlatchd/edge.go
@@ -28,6 +28,9 @@
 	if err := c.Check(); err != nil {
 		return err
 	}
+	if err := checkBoottime(); err != nil {
+		return err
+	}
 	limitMemory(c.Limits.Memory)
 	out := logging.NewRateLimitedWriter(os.Stdout, logLimits(&c.Log), time.Now)
 	defer out.Close()
@@ -46,7 +49,7 @@
 		out.SetLimits(logLimits(&s.Log))
 	}
 	host, err := edge.New(edge.Options{
-		Settings: c.Edge, Apply: apply, Store: store, Snapshots: store, Registration: store, Codec: platform.Codec{}, Check: platform.NewChecker().Check,
+		Settings: c.Edge, Apply: apply, Store: store, Snapshots: store, Registration: store, Warmups: store, Boottime: boottime, Codec: platform.Codec{}, Check: platform.NewChecker().Check,
 		ReadyPath: platform.ReadyPath, Logger: logger, Now: time.Now, Seed: randomUint64(), Without: without,
 		Started: startedAt, ProcessorTime: processorTime,
 	})
--- a/internal/edge/host.go
+++ b/internal/edge/host.go
@@ -45,6 +45,7 @@
 	exchange        *evidencerpc.Exchange
 	seeding         *seeding
 	snapshots       *snapshotPublisher
+	warmup          *warmupRunner
 	readyListener   net.Listener
 	metricsListener net.Listener
 	// seedListener is nil if there is no address for hosts that start.
@@ -63,9 +64,13 @@
 	s := &options.Settings
 	h := &Host{options: options, registry: prometheus.NewRegistry()}
 	h.settings.Store(s)
+	var err error
+	if h.warmup, err = newWarmupRunner(options, h.registry); err != nil {
+		return nil, err
+	}
 	h.engine = echo.New(echo.Options{
 		DataCentre: s.Host.DataCentre, MaxFlows: s.Limits.Flows, Seed: options.Seed, Without: options.Without, OnEvent: h.handleEvent,
-		OnEvidence: func() { h.exchange.Notify() },
+		OnEvidence: func() { h.exchange.Notify() }, Warmup: h.warmup.limits(),
 	})
 	h.prober = newProber(h.engine, options.Check, options.Now, options.Logger)
 	feedMetrics, err := feed.NewMetrics(h.registry)
@@ -130,6 +135,7 @@
 	group.Go(func() error { return h.peers.run(groupCtx) })
 	group.Go(func() error { return h.exchange.Run(groupCtx) })
 	group.Go(func() error { return h.snapshots.run(groupCtx) })
+	group.Go(func() error { return h.warmup.run(groupCtx) })
 	group.Go(func() error { return reloader.Run(groupCtx) })
 	h.serveHTTP(groupCtx, group)
 	s := &h.options.Settings
@@ -159,6 +165,7 @@
 // serveView passes a view to the engine. The first one makes the host ready.
 func (h *Host) serveView(view catalog.View) {
 	h.engine.SetView(h.options.Now(), view)
+	h.warmup.setView(h.engine.ColdUpstreams(h.options.Now()), &view)
 	h.forwarder.ReleaseHeld()
 	if h.serving.CompareAndSwap(false, true) {
 		h.options.Logger.Info().Uint64("version", view.Configuration.Version).Int("upstreams", len(view.Upstreams)).
--- a/internal/edge/options.go
+++ b/internal/edge/options.go
@@ -15,6 +15,7 @@
 	"github.com/oatlatch/oatlatch/internal/registration"
 	"github.com/oatlatch/oatlatch/internal/settings"
 	"github.com/oatlatch/oatlatch/internal/snapshot"
+	"github.com/oatlatch/oatlatch/internal/warmup"
 )
 
 // Store reads the configuration and the upstreams from the platform's store.
@@ -35,6 +36,12 @@
 	Snapshots snapshot.Store
 	// Registration stores the host's registration, by which other hosts find it.
 	Registration registration.Store
+	// Warmups holds the permissions to send opening packets to cold upstreams; nil for
+	// none, in which case such packets are not limited.
+	Warmups warmup.Store
+	// Boottime returns the time since the machine was started, suspensions included. Only
+	// Warmups requires it.
+	Boottime func() time.Duration
 	// Codec decodes and encodes packets.
 	Codec forward.Codec
 	// Check probes a suspected upstream. It returns nil if that upstream, and not
--- a/internal/edge/reload.go
+++ b/internal/edge/reload.go
@@ -44,6 +44,8 @@
 		{"listen.ready", before.Listen.Ready == after.Listen.Ready},
 		{"listen.seed", before.Listen.Seed == after.Listen.Seed},
 		{"listen.metrics", before.Listen.Metrics == after.Listen.Metrics},
+		{"warmup.overage", before.Warmup.Overage == after.Warmup.Overage},
+		{"warmup.slack", before.Warmup.Slack == after.Warmup.Slack},
 		{"limits.flows", before.Limits.Flows == after.Limits.Flows},
 	}
 	for _, setting := range fixedSettings {
--- a/internal/flow/echo/warmup.go
+++ b/internal/flow/echo/warmup.go
@@ -107,8 +107,8 @@
 	}
 	var cold []warmup.ColdProcess
 	for _, u := range e.upstreams {
-		if _, limited := e.warmupBudget(now, u); limited && u.acceptsFlows() {
-			cold = append(cold, warmup.ColdProcess{Process: u.seen.process, Remaining: e.coldUntil(u, e.warmups[u.Service]).Sub(now)})
+		if budget, limited := e.warmupBudget(now, u); limited && u.acceptsFlows() {
+			cold = append(cold, warmup.ColdProcess{Process: u.seen.process, Budget: budget, Remaining: e.coldUntil(u, e.warmups[u.Service]).Sub(now)})
 		}
 	}
 	return cold
--- a/internal/flow/echo/warmup_test.go
+++ b/internal/flow/echo/warmup_test.go
@@ -121,7 +121,7 @@
 		e.Started, e.WarmUntil = time.UnixMilli(7), h.now.Add(5*time.Second)
 	})
 	h.expectDecision(h.newFlow(orderAddress).sendSYN(), Reset, WarmingUp)
-	want := warmup.ColdProcess{Process: warmup.Process{Name: name(1), Started: 7}, Remaining: 5 * time.Second}
+	want := warmup.ColdProcess{Process: warmup.Process{Name: name(1), Started: 7}, Budget: 20, Remaining: 5 * time.Second}
 	if cold := h.engine.ColdUpstreams(h.now); len(cold) != 1 || cold[0] != want {
 		t.Errorf("cold: %v, want %v", cold, want)
 	}
--- a/internal/warmup/budget.go
+++ b/internal/warmup/budget.go
@@ -11,7 +11,7 @@
 	// hosts, so it does not depend on their number. With more shares, more hosts can serve
 	// a service whose upstreams are all cold, and the loss of a holder costs less; each
 	// share costs calls to the store.
-	SharesPerProcess = 4
+	SharesPerProcess = 8
 	// window is the time over which the opening packets of a share are counted. It is
 	// longer than the second that budgets refer to, because packets may arrive closer to
 	// each other than they were sent.
--- a/internal/warmup/model_test.go
+++ b/internal/warmup/model_test.go
@@ -134,9 +134,9 @@
 	case 3:
 		c.responseDelay = randomDuration(r, 4*time.Second)
 	case 4:
-		c.arrivals = append(c.arrivals, m.now+tick+randomDuration(r, 8*time.Second))
+		c.arrivals = append(c.arrivals, m.now+tick+randomDuration(r, 16*time.Second))
 	case 5:
-		c.arrivals = []time.Duration{m.now + randomDuration(r, time.Second), m.now + time.Second + randomDuration(r, 8*time.Second)}
+		c.arrivals = []time.Duration{m.now + randomDuration(r, time.Second), m.now + time.Second + randomDuration(r, 16*time.Second)}
 		c.responseDelay = randomDuration(r, time.Second)
 	}
 }
@@ -282,7 +282,7 @@
 	var cold []ColdProcess
 	for _, p := range m.processes {
 		if m.now >= m.bornAt[p] && m.now < m.warmAt[p] {
-			cold = append(cold, ColdProcess{Process: p, Remaining: m.warmAt[p] - m.now})
+			cold = append(cold, ColdProcess{Process: p, Budget: m.budget, Remaining: m.warmAt[p] - m.now})
 		}
 	}
 	names := m.names()
--- a/internal/warmup/permissions.go
+++ b/internal/warmup/permissions.go
@@ -9,8 +9,10 @@
 )
 
 const (
-	// LeaseTTL is the time to live of a lease.
-	LeaseTTL = 5 * time.Second
+	// LeaseTTL is the time to live of a lease. A longer one costs fewer renewals, but the
+	// shares of a host that dies are unused for as long, and so are all new permissions
+	// after a restore of the store.
+	LeaseTTL = 8 * time.Second
 	// usableTime is how long after a grant or renewal was sent a host uses the permissions
 	// of the lease. The rest of LeaseTTL, less one percent for clocks of different speed,
 	// is longer than window, so that the opening packets of a holder and its successor
@@ -84,6 +86,8 @@
 type process struct {
 	// warmAt is when it no longer warms up.
 	warmAt time.Duration
+	// budget is the budget of the process.
+	budget int
 	// firstSeen is when this host learned that it is cold.
 	firstSeen time.Duration
 	shares    [SharesPerProcess]share
@@ -122,7 +126,7 @@
 			known = &process{firstSeen: now}
 			p.processes[c.Process] = known
 		}
-		known.warmAt = now + c.Remaining
+		known.warmAt, known.budget = now+c.Remaining, c.Budget
 		if isNew || changed {
 			p.setTurns(c.Process, known)
 		}
@@ -144,11 +148,15 @@
 }
 
 func (p *Permissions) setTurns(name Process, known *process) {
-	count := len(p.hosts)
+	count, delay := len(p.hosts), 0
 	if _, registered := slices.BinarySearch(p.hosts, p.options.Host); !registered {
-		count++
+		// Other hosts do not count on this one, and it may not know them either.
+		count, delay = count+1, 1
 	}
 	for i, turn := range turns(rankOf(name, p.options.Host, p.hosts), count) {
+		if turn >= 0 {
+			turn += delay
+		}
 		known.shares[i].turn = turn
 	}
 }
@@ -297,7 +305,7 @@
 		}
 		for i := range known.shares {
 			s := &known.shares[i]
-			if s.lease != nil || s.turn < 0 {
+			if s.lease != nil || s.turn < 0 || shareOf(known.budget, i) == 0 {
 				continue
 			}
 			due := max(known.firstSeen+time.Duration(s.turn)*turnDelay, s.takenUntil)
--- a/internal/warmup/permissions_test.go
+++ b/internal/warmup/permissions_test.go
@@ -14,7 +14,7 @@
 func TestBudgetHolds(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		r := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 0))
-		m := newModel(rapid.IntRange(1, 5).Draw(t, "hosts"), rapid.IntRange(1, 2).Draw(t, "processes"), rapid.IntRange(1, 30).Draw(t, "budget"), time.Minute)
+		m := newModel(rapid.IntRange(1, 5).Draw(t, "hosts"), rapid.IntRange(1, 2).Draw(t, "processes"), rapid.IntRange(1, 30).Draw(t, "budget"), 2*time.Minute)
 		for _, h := range m.hosts {
 			h.speed = 1 + float64(r.IntN(9)-4)/1000
 			h.offset = time.Duration(r.IntN(100)) * time.Second
@@ -36,12 +36,12 @@
 		}
 		kinds := rapid.SliceOfN(rapid.SampledFrom([]string{"pause", "start", "copy", "restore", "late packet"}), 1, 5).Draw(t, "events")
 		copied := m.store.copy()
-		for m.now < 30*time.Second {
-			for range r.IntN(150) {
+		for m.now < time.Minute {
+			for range r.IntN(250) {
 				m.step()
 			}
 			h := m.hosts[r.IntN(len(m.hosts))]
-			pause := m.now + randomDuration(r, 8*time.Second)
+			pause := m.now + randomDuration(r, 15*time.Second)
 			switch kinds[r.IntN(len(kinds))] {
 			case "pause":
 				h.pausedUntil = pause
@@ -72,9 +72,11 @@
 	const hosts, warmup = 30, 10 * time.Second
 	tests := []struct {
 		processes, budget int
-		maxCalls          int
+		// maxPrice is the greatest price of all calls to the store, of which a Read costs
+		// a tenth of the others.
+		maxPrice float64
 	}{
-		{1, 5, 40}, {1, 20, 40}, {10, 20, 250}, {50, 20, 300}, {50, 5, 300},
+		{1, 5, 15}, {1, 20, 30}, {10, 20, 100}, {50, 20, 105}, {50, 5, 105},
 	}
 	for _, test := range tests {
 		m := newModel(hosts, test.processes, test.budget, 20*time.Second+warmup)
@@ -92,9 +94,13 @@
 				holders++
 			}
 		}
-		calls := 0
-		for _, n := range m.store.calls {
-			calls += n
+		price := 0.0
+		for kind, n := range m.store.calls {
+			if kind == Read {
+				price += float64(n) / 10
+			} else {
+				price += float64(n)
+			}
 		}
 		usable := float64(test.budget*test.processes) * warmup.Seconds()
 		t.Logf("%d cold upstreams, budget %d: used %.3f, busiest second %d, %d holders, calls %v", test.processes, test.budget, float64(sent)/usable, m.busiestSecond(), holders, m.store.calls)
@@ -104,8 +110,8 @@
 		if got := m.busiestSecond(); got > test.budget {
 			t.Errorf("%d cold upstreams: %d opening packets in a second, budget %d", test.processes, got, test.budget)
 		}
-		if calls > test.maxCalls {
-			t.Errorf("%d cold upstreams: %d calls", test.processes, calls)
+		if price > test.maxPrice {
+			t.Errorf("%d cold upstreams: calls %v cost %.1f", test.processes, m.store.calls, price)
 		}
 	}
 }
@@ -113,13 +119,13 @@
 // TestShareOfDeadHost guards against a share that nobody uses because the host whose turn
 // it is does not run.
 func TestShareOfDeadHost(t *testing.T) {
-	m := newModel(30, 1, 20, 20*time.Second)
+	m := newModel(30, 1, 20, time.Minute)
 	for _, h := range m.hosts {
 		if rankOf(m.processes[0], h.name, m.names()) < SharesPerProcess {
 			h.pausedUntil = time.Hour
 		}
 	}
-	for m.now < 10*time.Second {
+	for m.now < LeaseTTL+3*time.Second {
 		m.step()
 	}
 	if got := m.busiestSecond(); got < 14 || got > 20 {
@@ -137,7 +143,7 @@
 	if len(m.arrivals) != 0 {
 		t.Fatal("permissions were used although those of a former epoch may still be")
 	}
-	for m.now < 10*time.Second {
+	for m.now < LeaseTTL+5*time.Second {
 		m.step()
 	}
 	for _, h := range m.hosts {
@@ -177,7 +183,7 @@
 func TestLatePacketOfPausedHost(t *testing.T) {
 	m := newModel(2, 1, 6, time.Minute)
 	m.eager = true
-	for m.now < 8*time.Second {
+	for m.now < LeaseTTL+2*time.Second {
 		m.step()
 	}
 	p, late := m.processes[0], 0
@@ -186,11 +192,11 @@
 		for _, s := range h.permissions.processes[p].shares {
 			if s.lease != nil && late == 0 {
 				late++
-				h.pausedUntil = m.now + 20*time.Second
+				h.pausedUntil = m.now + 3*LeaseTTL
 			}
 		}
 	}
-	for m.now < 20*time.Second {
+	for end := m.now + 2*LeaseTTL; m.now < end; {
 		m.step()
 	}
 	busiest := m.busiestSecond()
@@ -205,7 +211,7 @@
 func TestMarkOfFormerEpoch(t *testing.T) {
 	m := newModel(1, 1, 20, time.Minute)
 	copied := m.store.copy()
-	for m.now < 8*time.Second {
+	for m.now < LeaseTTL+2*time.Second {
 		m.step()
 	}
 	copied.mark, copied.marked = m.store.mark, m.store.marked
@@ -242,3 +248,51 @@
 		t.Error("a lease of the former epoch is in use")
 	}
 }
+
+// TestLeaseCountsFromBeforeTheCall guards against a host that was paused while it waited
+// for a response, and then uses a permission that another host has meanwhile.
+func TestLeaseCountsFromBeforeTheCall(t *testing.T) {
+	m := newModel(1, 1, 20, time.Minute)
+	m.store.marked = true
+	h := m.hosts[0]
+	m.fault = func(_ *modelHost, c *modelCall) {
+		if c.call.Kind == Renew && h.pausedUntil == 0 {
+			h.pausedUntil = m.now + LeaseTTL
+		}
+	}
+	for h.pausedUntil == 0 {
+		m.step()
+	}
+	sent := h.sent
+	for m.now < h.pausedUntil {
+		m.step()
+	}
+	if sent == 0 || h.sent != sent || h.permissions.Allows(m.processes[0], m.budget) {
+		t.Error("a permission is in use after the lease of the store has ended")
+	}
+}
+
+// TestLeaseOfFormerEpochIsNotRenewed guards against a renewal, or a new permission, with a
+// lease whose ID may belong to another host since a restore.
+func TestLeaseOfFormerEpochIsNotRenewed(t *testing.T) {
+	m := newModel(1, 1, 20, time.Minute)
+	m.store.marked = true
+	h := m.hosts[0]
+	for m.now < time.Second {
+		m.step()
+	}
+	if h.sent == 0 {
+		t.Fatal("the host has no permission")
+	}
+	m.store.restore(m.now, newModelStore())
+	clear(m.store.calls)
+	for end := m.now + LeaseTTL - tick; m.now < end; {
+		m.step()
+	}
+	if m.store.calls[Renew]+m.store.calls[Acquire]+m.store.calls[Grant] != 0 {
+		t.Errorf("calls %v", m.store.calls)
+	}
+	if h.permissions.Allows(m.processes[0], m.budget) {
+		t.Error("a permission of the former epoch is in use after its lease")
+	}
+}
--- a/internal/warmup/process.go
+++ b/internal/warmup/process.go
@@ -38,6 +38,8 @@
 // ColdProcess is a process that warms up.
 type ColdProcess struct {
 	Process
+	// Budget is how many opening packets it may get in a second from all hosts together.
+	Budget int
 	// Remaining is how long it still warms up.
 	Remaining time.Duration
 }
