warmup: read the clock only for shares that this host may use

Cause: each cold candidate of a new flow cost a system call, also at hosts without a permission. When a whole data centre is cold, a refused flow asks about all upstreams of its service several times.

Change: the clock is read only if the host has a lease for a share. The model also plays outages of the store.

--- a/internal/warmup/permissions.go
+++ b/internal/warmup/permissions.go
@@ -176,7 +176,8 @@
 func (p *Permissions) Allows(name Process, budget int) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.usableShare(p.options.Now(), name, budget) != nil
+	s, _ := p.usableShare(name, budget)
+	return s != nil
 }
 
 // Spend counts an opening packet to the process. It returns false if the packet must not be
@@ -184,8 +185,7 @@
 func (p *Permissions) Spend(name Process, budget int) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	now := p.options.Now()
-	s := p.usableShare(now, name, budget)
+	s, now := p.usableShare(name, budget)
 	if s == nil {
 		return false
 	}
@@ -193,19 +193,28 @@
 	return true
 }
 
-// usableShare returns a share from which an opening packet may be sent, or nil.
-func (p *Permissions) usableShare(now time.Duration, name Process, budget int) *share {
+// usableShare returns a share from which an opening packet may be sent now, or nil, and the
+// time. It reads the clock, which takes a system call, only if this host has a permission:
+// while many upstreams are cold, most questions are about others.
+func (p *Permissions) usableShare(name Process, budget int) (*share, time.Duration) {
 	known := p.processes[name]
 	if known == nil {
-		return nil
+		return nil, 0
 	}
+	var now time.Duration
 	for i := range known.shares {
 		s := &known.shares[i]
-		if s.lease != nil && now < s.lease.usableUntil && s.sent.count(now) < shareOf(budget, i) {
-			return s
+		if s.lease == nil {
+			continue
+		}
+		if now == 0 {
+			now = p.options.Now()
+		}
+		if now < s.lease.usableUntil && s.sent.count(now) < shareOf(budget, i) {
+			return s, now
 		}
 	}
-	return nil
+	return nil, 0
 }
 
 // Held returns the number of shares that this host may use, and the number of processes
--- a/internal/warmup/permissions_test.go
+++ b/internal/warmup/permissions_test.go
@@ -21,8 +21,11 @@
 		}
 		m.jitter = func() time.Duration { return randomDuration(r, maxJitter) }
 		faults := []float64{0, 0.1, 0.4}[rapid.IntRange(0, 2).Draw(t, "faults")]
+		var outageEnd time.Duration
 		m.fault = func(_ *modelHost, c *modelCall) {
-			if r.Float64() < faults {
+			if m.now < outageEnd {
+				c.arrivals = nil
+			} else if r.Float64() < faults {
 				m.injectFault(r, c)
 			}
 		}
@@ -34,7 +37,7 @@
 			}
 			return m.names()
 		}
-		kinds := rapid.SliceOfN(rapid.SampledFrom([]string{"pause", "start", "copy", "restore", "late packet"}), 1, 5).Draw(t, "events")
+		kinds := rapid.SliceOfN(rapid.SampledFrom([]string{"pause", "start", "copy", "restore", "outage", "late packet"}), 1, 5).Draw(t, "events")
 		copied := m.store.copy()
 		for m.now < time.Minute {
 			for range r.IntN(250) {
@@ -47,6 +50,8 @@
 				h.pausedUntil = pause
 			case "start":
 				m.start(h)
+			case "outage":
+				outageEnd = pause
 			case "copy":
 				copied = m.store.copy()
 			case "restore":
@@ -296,3 +301,29 @@
 		t.Error("a permission of the former epoch is in use after its lease")
 	}
 }
+
+// BenchmarkAllowsWithoutPermission measures the question about an upstream of which this
+// host has no permission, which is asked for each cold candidate of a new flow.
+func BenchmarkAllowsWithoutPermission(b *testing.B) {
+	m := newModel(1, 1, 20, time.Minute)
+	m.updateView(m.hosts[0])
+	b.ReportAllocs()
+	for b.Loop() {
+		m.hosts[0].permissions.Allows(m.processes[0], m.budget)
+	}
+}
+
+// BenchmarkViewOfManyColdUpstreams measures a view in which 50 upstreams are cold and the
+// hosts have changed, at 430 hosts.
+func BenchmarkViewOfManyColdUpstreams(b *testing.B) {
+	m := newModel(430, 50, 20, time.Minute)
+	names, n := m.names(), 0
+	m.hostNames = func(*modelHost) []string {
+		n++
+		return names[n%2:]
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		m.updateView(m.hosts[0])
+	}
+}
