--- a/internal/flow/echo/choose.go
+++ b/internal/flow/echo/choose.go
@@ -78,7 +78,7 @@
 	for _, u := range p.upstreams {
 		switch {
 		case u == avoid || !r.allows(u):
-		case eligible(u):
+		case eligible(u) && e.withinWarmup(now, u):
 			candidates = append(candidates, u)
 			returned = returned || u.recent.away
 		default:
--- a/internal/flow/echo/engine.go
+++ b/internal/flow/echo/engine.go
@@ -66,7 +66,9 @@
 	former            *catalog.FormerServices
 	historyCompleteAt time.Time
 	// healthPaths are the paths of health checks by service.
-	healthPaths      map[string]string
+	healthPaths map[string]string
+	// warmups are the configured warm-ups by service.
+	warmups          map[string]catalog.Warmup
 	upstreams        map[catalog.UpstreamID]*upstream
 	upstreamsByToken map[Token]*upstream
 	pools            map[string]*pool
--- a/internal/flow/echo/harness_test.go
+++ b/internal/flow/echo/harness_test.go
@@ -32,6 +32,7 @@
 	upstreams []catalog.Entry
 	routes    []catalog.Route
 	version   uint64
+	warmups   map[string]catalog.Warmup
 	// evacuations are the data centres that are evacuated.
 	evacuations []catalog.Evacuation
 	// catalog derives the former services from the configurations.
@@ -67,7 +68,7 @@
 // applyView passes the harness's configuration and upstreams to its engine, together with
 // the services that earlier configurations had.
 func (h *harness) applyView() {
-	configuration := &catalog.Configuration{Version: h.version, Routes: h.routes, IdleTimeout: 15 * time.Second}
+	configuration := &catalog.Configuration{Version: h.version, Routes: h.routes, Warmups: h.warmups, IdleTimeout: 15 * time.Second}
 	position := catalog.Position{Revision: h.version}
 	h.catalog.Apply(h.now, catalog.Update{Position: position, Changes: []catalog.Change{{Position: position, Configuration: configuration}}})
 	if view, changed := h.catalog.TakeView(); changed {
--- a/internal/flow/echo/reason.go
+++ b/internal/flow/echo/reason.go
@@ -32,6 +32,9 @@
 	Region
 	// AlreadyOpen means that the packet is a late copy of the SYN of an open flow.
 	AlreadyOpen
+	// WarmingUp means that every upstream that accepts new flows of the route is cold, and
+	// this host may not send it an opening packet now.
+	WarmingUp
 	// Overloaded means that a new flow was refused in favour of routes with a higher
 	// priority, because its responses would probably miss the route's objective.
 	Overloaded
@@ -99,6 +102,7 @@
 	Evacuated:              "evacuated",
 	Region:                 "region",
 	AlreadyOpen:            "already-open",
+	WarmingUp:              "warming-up",
 	Overloaded:             "overloaded",
 	Queued:                 "queued",
 	UnknownToken:           "unknown-token",
--- a/internal/flow/echo/region.go
+++ b/internal/flow/echo/region.go
@@ -69,10 +69,10 @@
 	}
 }
 
-// refusalReason returns why no upstream can take a new flow of the route: Evacuated if one
-// in an allowed region could but for an evacuation, or else Region if one in another region
-// could.
-func (e *Engine) refusalReason(r *route) Reason {
+// refusalReason returns why no upstream can take a new flow of the route: WarmingUp if one
+// could but for the budget of its warm-up, or else Evacuated if one in an allowed region
+// could but for an evacuation, or else Region if one in another region could.
+func (e *Engine) refusalReason(now time.Time, r *route) Reason {
 	reason := NoUpstream
 	for _, share := range r.Shares {
 		p := e.pools[share.Service]
@@ -83,9 +83,13 @@
 			switch {
 			case !u.active():
 			case !r.allows(u):
-				reason = Region
+				if reason == NoUpstream {
+					reason = Region
+				}
 			case u.evacuated:
-				return Evacuated
+				reason = Evacuated
+			case !e.withinWarmup(now, u):
+				return WarmingUp
 			}
 		}
 	}
--- a/internal/flow/echo/syn.go
+++ b/internal/flow/echo/syn.go
@@ -34,6 +34,14 @@
 
 // openFlow forwards the SYN of a new flow to the upstream.
 func (e *Engine) openFlow(now time.Time, r *route, s *Segment, u *upstream) Decision {
+	if !e.spendWarmup(now, u) {
+		// The permission has ended since the upstream was chosen.
+		d := Decision{Verdict: Reset, Reason: WarmingUp}
+		if s.Ack > 0 {
+			d.Verdict = Drop // the flow may be open through another host
+		}
+		return e.withDetail(now, d, r, u, nil)
+	}
 	key := flowKey{caller: s.Caller, address: s.VirtualAddress}
 	rec := &flowRecord{upstream: u, sawSYN: true, synSeq: s.Seq, nextSeq: s.Seq + 1, created: now, lastSeen: now, requestTimeout: r.Timeout}
 	e.storeRecord(key, rec)
@@ -60,16 +68,15 @@
 		return e.withDetail(now, Decision{Verdict: Drop, Reason: AlreadyOpen}, r, u, rec)
 	}
 	e.recordRetransmission(now, rec, rec.created)
-	again := e.withDetail(now, forwardTo(u, OpenedAgain), r, u, rec)
 	accepted := r.accepts(u)
 	if accepted && !u.suspected() && u.lastAnswer.After(rec.created) {
-		return again
+		return e.openAgain(now, r, rec)
 	}
 	other, p := e.selectUpstream(now, r, u)
 	var admitted admission
 	if other != nil && other != u {
 		admitted = e.admissionOf(now, p, r, other, s)
-		if admitted == admit || u.live() && !accepted {
+		if (admitted == admit || u.live() && !accepted) && e.spendWarmup(now, other) {
 			d := e.withDetail(now, forwardTo(other, OpenedElsewhere), r, u, rec)
 			rec.reassign(other)
 			e.countRecent(now, other)
@@ -78,9 +85,9 @@
 	}
 	switch {
 	case accepted:
-		return again
+		return e.openAgain(now, r, rec)
 	case other == nil:
-		d := Decision{Verdict: Reset, Reason: e.refusalReason(r)}
+		d := Decision{Verdict: Reset, Reason: e.refusalReason(now, r)}
 		if e.partial {
 			d.Verdict = Hold
 		} else if u.live() {
@@ -94,3 +101,13 @@
 		return e.withDetail(now, Decision{Verdict: Reset, Reason: Overloaded}, r, u, rec)
 	}
 }
+
+// openAgain forwards a further copy of a SYN to the same upstream. The copy is dropped if
+// the upstream warms up and must get no opening packet now: the flow may be open there, so
+// that a reset would break it, and the caller sends another copy if it is not.
+func (e *Engine) openAgain(now time.Time, r *route, rec *flowRecord) Decision {
+	if !e.spendWarmup(now, rec.upstream) {
+		return e.withDetail(now, Decision{Verdict: Drop, Reason: WarmingUp}, r, rec.upstream, rec)
+	}
+	return e.withDetail(now, forwardTo(rec.upstream, OpenedAgain), r, rec.upstream, rec)
+}
--- a/internal/flow/echo/syn_copy.go
+++ b/internal/flow/echo/syn_copy.go
@@ -32,7 +32,7 @@
 // refuseUnserved decides about a SYN that no upstream can take. It is refused, unless it is
 // a copy and the flow may be open through another host.
 func (e *Engine) refuseUnserved(now time.Time, r *route, s *Segment) Decision {
-	d := Decision{Verdict: Reset, Reason: e.refusalReason(r)}
+	d := Decision{Verdict: Reset, Reason: e.refusalReason(now, r)}
 	switch {
 	case e.partial:
 		d.Verdict = Hold
--- a/internal/flow/echo/view.go
+++ b/internal/flow/echo/view.go
@@ -27,7 +27,7 @@
 // applyConfiguration replaces the routes and timeouts.
 func (e *Engine) applyConfiguration(c *catalog.Configuration) {
 	e.version = c.Version
-	e.healthPaths = c.HealthPaths
+	e.healthPaths, e.warmups = c.HealthPaths, c.Warmups
 	e.idleTimeout = defaultIdleTimeout
 	if c.IdleTimeout > 0 {
 		e.idleTimeout = c.IdleTimeout
@@ -79,6 +79,7 @@
 			u.ejection, u.counts = ejection{}, answerCounts{}
 			u.recent = recentRequests{away: true}
 		}
+		u.noteProcess(now, &entry)
 		u.Entry = entry
 		if e.options.Without.Has(WarmupWeight) {
 			u.WarmUntil = time.Time{}
--- a/internal/settings/edge_check_test.go
+++ b/internal/settings/edge_check_test.go
@@ -33,6 +33,8 @@
 		{"infinite bandwidth", func(s *Edge) { s.Limits.Bandwidth = math.Inf(1) }, "limits.bandwidth"},
 		{"no flow age", func(s *Edge) { s.Limits.FlowAge = 0 }, "limits.flow_age"},
 		{"flow age of two days", func(s *Edge) { s.Limits.FlowAge = 48 * time.Hour }, "limits.flow_age"},
+		{"negative warm-up overage", func(s *Edge) { s.Warmup.Overage = -1 }, "warmup.overage"},
+		{"warm-up slack that is no number", func(s *Edge) { s.Warmup.Slack = math.NaN() }, "warmup.slack"},
 		{"no history", func(s *Edge) { s.Store.History = 0 }, "store.history"},
 		{"no time to apply", func(s *Edge) { s.Store.ApplyWithin = nil }, "store.apply_within"},
 	}
