experiment: simulate the feeds of many hosts in virtual time

Cause: a host whose store watch falls silent is behind for seconds, and no test shows it for a whole deployment, because a feed runs on real timers.

Ruled out: a model of the feed beside the feed, which would drift from it; and testing/synctest, which cannot run outside of tests, where oatlatch experiment needs it.

Change: a feed takes its clock as an option. internal/experiment/lag runs the feeds and catalogs of all hosts as processes of a scheduler in virtual time, one at a time, so that a seed repeats a run. The store, the calls and the faults are simulated. Both packages are core packages now. The test for new changes in an update moves to the catalog, so that the simulation shares it.

--- a/internal/catalogrpc/catalogrpc_test.go
+++ b/internal/catalogrpc/catalogrpc_test.go
@@ -234,7 +234,7 @@
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			update := catalog.Update{Position: at(9), Changes: []catalog.Change{test.change}}
-			if got := hasNewChanges(&update, haveAt(4)); got != test.ends {
+			if got := update.HasNewChanges(haveAt(4)); got != test.ends {
 				t.Errorf("got %t, want %t", got, test.ends)
 			}
 		})
--- a/internal/catalogrpc/service.go
+++ b/internal/catalogrpc/service.go
@@ -52,7 +52,7 @@
 func (s *Service) Watch(args *WatchArgs, reply *WatchReply) error {
 	s.catalog.NoteFollower(string(s.follower), args.Have)
 	update, changed, known := s.catalog.ChangesSince(args.Have)
-	if known && !hasNewChanges(&update, args.Have) {
+	if known && !update.HasNewChanges(args.Have) {
 		timer := time.NewTimer(min(max(0, args.Wait), maxWait))
 		defer timer.Stop()
 		select {
@@ -72,17 +72,3 @@
 	reply.Known = err == nil
 	return err
 }
-
-// hasNewChanges reports whether the update has a change that a host with the given state
-// lacks. The update may also repeat inferred departures at the host's position, and
-// overrides of upstreams. They don't count, because the host may have received them before.
-func hasNewChanges(update *catalog.Update, have catalog.Have) bool {
-	for i := range update.Changes {
-		change := &update.Changes[i]
-		isConfiguration := change.Configuration != nil || change.Delta != nil
-		if change.Position.After(have.Position) || change.Override && isConfiguration {
-			return true
-		}
-	}
-	return false
-}
--- a/internal/corecheck/corecheck.go
+++ b/internal/corecheck/corecheck.go
@@ -5,6 +5,6 @@
 // CorePackages lists the directories under internal whose packages must be deterministic.
 // A directory that does not exist is skipped.
 var CorePackages = []string{
-	"admission", "catalog", "config", "evidence", "experiment", "flow/echo", "flow", "health", "host", "limit", "slottable",
+	"admission", "catalog", "config", "evidence", "experiment", "experiment/lag", "feed", "flow/echo", "flow", "health", "host", "limit", "slottable",
 	"membership", "packet", "publish", "service", "snapshot", "ticket",
 }
--- a/internal/feed/consult.go
+++ b/internal/feed/consult.go
@@ -45,15 +45,15 @@
 	f.follower = ""
 	f.mu.Unlock()
 	h := f.selector.peer(name)
-	if h == nil || !f.listed || f.options.Now().Sub(f.consultedAt) < consultInterval {
+	if h == nil || !f.listed || f.options.Clock.Now().Sub(f.consultedAt) < consultInterval {
 		return
 	}
-	f.consultedAt = f.options.Now()
+	f.consultedAt = f.options.Clock.Now()
 	source := f.options.Peer(*h)
 	if source == nil {
 		return
 	}
-	ctx, cancel := context.WithTimeout(ctx, consultTimeout)
+	ctx, cancel := f.options.Clock.WithTimeout(ctx, consultTimeout)
 	defer cancel()
 	f.currentSource = name
 	err := f.readFollower(ctx, source)
@@ -69,7 +69,7 @@
 	if err == nil {
 		f.mu.Lock()
 		defer f.mu.Unlock()
-		if !f.catalog.Apply(f.options.Now(), update) {
+		if !f.catalog.Apply(f.options.Clock.Now(), update) {
 			return ErrCompacted
 		}
 		return nil
@@ -84,5 +84,5 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.catalog.BeginListing()
-	return f.catalog.AddPage(f.options.Now(), page)
+	return f.catalog.AddPage(f.options.Clock.Now(), page)
 }
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -15,7 +15,6 @@
 
 	"github.com/oatlatch/oatlatch/internal/catalog"
 	"github.com/oatlatch/oatlatch/internal/snapshot"
-	"github.com/oatlatch/oatlatch/internal/wait"
 )
 
 const (
@@ -68,8 +67,10 @@
 	OnView  func(catalog.View)
 	Logger  zerolog.Logger
 	Metrics *Metrics
-	// Now returns the current time.
+	// Now returns the current time. It is not used if there is a Clock.
 	Now func() time.Time
+	// Clock is the clock; nil for one that runs in real time and reads Now.
+	Clock Clock
 	// Seed seeds the random backoff and the random choice of peers.
 	Seed uint64
 }
@@ -124,6 +125,9 @@
 // New returns a feed with an empty catalog.
 func New(options Options) *Feed {
 	random := rand.New(rand.NewPCG(options.Seed, options.Seed))
+	if options.Clock == nil {
+		options.Clock = systemClock{now: options.Now}
+	}
 	return &Feed{
 		options: options, random: random, allowStale: true, timing: options.Timing,
 		selector: newSourceSelector(options.Self, options.DataCentre, random),
@@ -154,7 +158,7 @@
 	f.restore(ctx)
 	for {
 		delay := f.poll(ctx)
-		if wait.Sleep(ctx, delay) != nil {
+		if f.options.Clock.Sleep(ctx, delay) != nil {
 			return nil
 		}
 	}
@@ -163,7 +167,7 @@
 // poll makes one call to a source and returns the delay before the next one.
 func (f *Feed) poll(ctx context.Context) time.Duration {
 	f.consultFollower(ctx)
-	target := f.selector.next(f.options.Now())
+	target := f.selector.next(f.options.Clock.Now())
 	if f.confirming {
 		target = nil
 	}
@@ -187,7 +191,7 @@
 	f.options.Metrics.observeCall(target != nil, err)
 	f.publishView()
 	if err != nil && !errors.Is(err, ErrCompacted) {
-		f.selector.recordFailure(f.options.Now(), target)
+		f.selector.recordFailure(f.options.Clock.Now(), target)
 		return f.recordFailure(name, err)
 	}
 	f.selector.recordSuccess(target)
@@ -230,7 +234,7 @@
 	f.mu.Unlock()
 	pause := f.currentTiming().Pause
 	switch {
-	case restoredAt.IsZero() || f.options.Now().Sub(restoredAt) >= restoreAttention:
+	case restoredAt.IsZero() || f.options.Clock.Now().Sub(restoredAt) >= restoreAttention:
 		return pause
 	case f.lastChanges == 0:
 		return 0 // the watch itself has waited
@@ -284,7 +288,7 @@
 // results are the time since the store last answered and the name of the host that the
 // source itself reads, empty if that is the store.
 func (f *Feed) list(ctx context.Context, source Source, fromPeer bool) (age time.Duration, via string, err error) {
-	ctx, cancel := context.WithTimeout(ctx, pageTimeout)
+	ctx, cancel := f.options.Clock.WithTimeout(ctx, pageTimeout)
 	defer cancel()
 	after := f.nextPage
 	if fromPeer {
@@ -302,7 +306,7 @@
 	if after == "" {
 		f.catalog.BeginListing()
 	}
-	if err := f.catalog.AddPage(f.options.Now(), page); err != nil {
+	if err := f.catalog.AddPage(f.options.Clock.Now(), page); err != nil {
 		f.restartListing()
 		return 0, "", err
 	}
@@ -314,7 +318,7 @@
 
 // watch reads the changes after the catalog's position. Its results are those of list.
 func (f *Feed) watch(ctx context.Context, source Source) (age time.Duration, via string, err error) {
-	ctx, cancel := context.WithTimeout(ctx, f.currentTiming().callTimeout())
+	ctx, cancel := f.options.Clock.WithTimeout(ctx, f.currentTiming().callTimeout())
 	defer cancel()
 	wait := f.currentTiming().Wait
 	if f.confirming {
@@ -326,7 +330,7 @@
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if !f.catalog.Apply(f.options.Now(), update) {
+	if !f.catalog.Apply(f.options.Clock.Now(), update) {
 		return 0, "", ErrCompacted
 	}
 	f.compactions, f.lastChanges = 0, len(update.Changes)
@@ -369,5 +373,5 @@
 	if contact.IsZero() {
 		return 0
 	}
-	return f.options.Now().Sub(contact)
+	return f.options.Clock.Now().Sub(contact)
 }
--- a/internal/feed/restore.go
+++ b/internal/feed/restore.go
@@ -19,7 +19,7 @@
 	if f.options.Snapshots == nil {
 		return
 	}
-	readCtx, cancel := context.WithTimeout(ctx, snapshotTimeout)
+	readCtx, cancel := f.options.Clock.WithTimeout(ctx, snapshotTimeout)
 	defer cancel()
 	if err := f.readSnapshot(readCtx); err != nil {
 		if ctx.Err() == nil {
@@ -44,7 +44,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.catalog.BeginListing()
-	if err := f.catalog.AddPage(f.options.Now(), page); err != nil {
+	if err := f.catalog.AddPage(f.options.Clock.Now(), page); err != nil {
 		return err
 	}
 	f.catalog.SetStoredSnapshot(catalog.StoredSnapshot{Written: record.Written, Have: f.catalog.Have()})
--- a/internal/feed/snapshot.go
+++ b/internal/feed/snapshot.go
@@ -10,7 +10,7 @@
 	if !f.catalog.Complete() {
 		return catalog.Page{}, false
 	}
-	page := f.catalog.Snapshot(f.options.Now())
+	page := f.catalog.Snapshot(f.options.Clock.Now())
 	page.Via = f.via
 	return page, true
 }
@@ -25,7 +25,7 @@
 	if !f.catalog.Complete() {
 		return catalog.Update{}, f.changed, false
 	}
-	update, ok := f.catalog.ChangesSince(f.options.Now(), have)
+	update, ok := f.catalog.ChangesSince(f.options.Clock.Now(), have)
 	update.Position, update.Via = f.catalog.Position(), f.via
 	return update, f.changed, ok
 }
