feed: ask partners what they know, so that no host stays behind its source

Cause: a watch that returns nothing cannot be told from a quiet store. A host whose source is silent noticed it after wait and slack (2.5 s), and then read the store or a random peer, which may be behind as well.

Ruled out: shorter waits (each doubles the calls to the source, and a source that is behind still answers); reading from random peers (each new pair costs a TLS handshake); polling for positions without being held (at the same number of calls a change is seen up to 0.5 s later in each step).

Change: beside its source, each host has two or three slots in which a fixed partner of another branch holds a call until it knows something that the host lacks, for at most 0.8 s. The host reads it if its own source has not delivered within 0.1 s. The call tells the host's own progress too, and a host that has learned something ends its held calls after 50 ms, so knowledge goes both ways. The first two hosts of a data centre ask the first two of others; six more stand in for them while neither answers. A partner that does not answer is replaced at once. A host that nobody answers reports it, and is left. Answers that were under way while a partner was read are no reason for a listing, and a listing that took long shows no restore of the store.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -63,6 +63,8 @@
 	// position is the position up to which the catalog is complete. Its revision is zero
 	// until the first listing is complete.
 	position Position
+	// newest is the position of the last change of the view.
+	newest Position
 	// compactedPosition is the position up to which the catalog may lack removals.
 	compactedPosition Position
 	// confirmed is set once a listing or a watch has shown that the catalog lacks nothing
@@ -147,7 +149,7 @@
 	c.recordContact(now, update.Age)
 	complete := true
 	for i := range update.Changes {
-		complete = c.applyChange(now, &update.Changes[i]) && complete
+		complete = c.mergeChange(now, &update.Changes[i]) && complete
 	}
 	if complete {
 		c.position = laterOf(c.position, update.Position)
@@ -178,6 +180,10 @@
 	}
 }
 
+// NoteContact records that the store answered at the time now minus age, and that the
+// catalog lacks nothing that the answer told.
+func (c *Catalog) NoteContact(now time.Time, age time.Duration) { c.recordContact(now, age) }
+
 // recordContact records that the store answered at the time now minus age, and detects
 // the end of an outage.
 func (c *Catalog) recordContact(now time.Time, age time.Duration) {
--- a/internal/catalog/change.go
+++ b/internal/catalog/change.go
@@ -64,6 +64,9 @@
 	Age time.Duration
 	// Via is the name of the host that the source reads; empty if it reads the store.
 	Via string
+	// Isolated is set if the source takes itself to be cut off from the store and from other
+	// hosts.
+	Isolated bool
 }
 
 // Page is one page of a listing of all records.
--- a/internal/catalog/listing.go
+++ b/internal/catalog/listing.go
@@ -79,10 +79,10 @@
 		if change.PeerKey != nil {
 			l.peerKey = true
 		}
-		c.applyChange(now, change)
+		c.mergeChange(now, change)
 	}
 	if page.Next == "" {
-		c.finishListing(now, l)
+		c.noteNewest(l.position, func() { c.finishListing(now, l) })
 		if !page.Unconfirmed {
 			c.confirm()
 		}
--- a/internal/catalogrpc/catalogrpc_test.go
+++ b/internal/catalogrpc/catalogrpc_test.go
@@ -22,18 +22,27 @@
 // fakeCatalog returns the configured results. ChangesSince receives the next update from
 // the channel updates if there is one, and otherwise returns the current one again.
 type fakeCatalog struct {
-	page    catalog.Page
-	ready   bool
-	updates chan catalog.Update
-	current catalog.Update
-	changed chan struct{}
-	known   bool
+	page     catalog.Page
+	ready    bool
+	updates  chan catalog.Update
+	current  catalog.Update
+	changed  chan struct{}
+	known    bool
+	progress feed.PeerProgress
 	// followers are the states that the followers told, by name.
 	followers map[string]catalog.Have
 }
 
 func (c *fakeCatalog) Snapshot() (catalog.Page, bool) { return c.page, c.ready }
 
+func (c *fakeCatalog) Progress() (feed.PeerProgress, <-chan struct{}, bool) {
+	return c.progress, c.changed, c.ready
+}
+
+func (c *fakeCatalog) NotePartner(name string, known catalog.Progress) {
+	c.NoteFollower(name, known.Have)
+}
+
 func (c *fakeCatalog) NoteFollower(name string, have catalog.Have) {
 	if c.followers == nil {
 		c.followers = make(map[string]catalog.Have)
@@ -161,6 +170,32 @@
 	g.Expect((<-answered).Position).To(Equal(at(8)))
 }
 
+// TestProgressOverConnection checks that a call is held only while the caller lacks nothing.
+func TestProgressOverConnection(t *testing.T) {
+	g := NewWithT(t)
+	c := &fakeCatalog{changed: make(chan struct{})}
+	source := newConnectedSource(t, c)
+	ctx := context.Background()
+	_, err := source.Progress(ctx, catalog.Progress{}, time.Hour)
+	g.Expect(err).To(MatchError(ErrNotReady))
+	c.ready = true
+	c.progress = feed.PeerProgress{Progress: catalog.Progress{Have: catalog.Have{Position: at(9), Version: 3, Overrides: 1}, Newest: at(8)}, Age: time.Second}
+	known, err := source.Progress(ctx, catalog.Progress{Have: haveAt(7)}, time.Hour)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(known).To(Equal(c.progress))
+	g.Expect(c.followers).To(HaveKeyWithValue("child", haveAt(7)), "the caller tells what it knows")
+	known, err = source.Progress(ctx, c.progress.Progress, time.Millisecond)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(known).To(Equal(c.progress), "a call without news must end after its wait")
+	ended, cancel := context.WithTimeout(ctx, 20*time.Millisecond)
+	defer cancel()
+	_, err = source.Progress(ended, c.progress.Progress, time.Hour)
+	g.Expect(err).To(HaveOccurred(), "the call must be held")
+	close(c.changed)
+	_, err = source.Progress(ctx, c.progress.Progress, time.Hour)
+	g.Expect(err).NotTo(HaveOccurred(), "a change must end the wait")
+}
+
 func TestHostWithDifferentPeerKeyIsRefused(t *testing.T) {
 	g := NewWithT(t)
 	source := newConnectedSource(t, &fakeCatalog{ready: true})
--- a/internal/catalogrpc/messages.go
+++ b/internal/catalogrpc/messages.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/oatlatch/oatlatch/internal/catalog"
+	"github.com/oatlatch/oatlatch/internal/feed"
 )
 
 // ServiceName is the net/rpc name of Service.
@@ -47,3 +48,25 @@
 	// Packed is a catalog.Update encoded by gobpack.Pack.
 	Packed []byte
 }
+
+// ProgressArgs are the arguments of Service.Progress.
+type ProgressArgs struct {
+	// Own is the progress of the requesting host.
+	Own catalog.Progress
+	// Wait is the maximum time to wait for something that the requesting host lacks.
+	Wait time.Duration
+
+	// ctx is the context of the call on the serving host; it is not sent.
+	ctx context.Context
+}
+
+// SetContext implements peer.ContextArgs.
+func (a *ProgressArgs) SetContext(ctx context.Context) { a.ctx = ctx }
+
+// ProgressReply is the reply of Service.Progress.
+type ProgressReply struct {
+	// Ready is false while the serving host has no complete catalog.
+	Ready bool
+	// Known is what the serving host knows.
+	Known feed.PeerProgress
+}
--- a/internal/catalogrpc/service.go
+++ b/internal/catalogrpc/service.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/oatlatch/oatlatch/internal/catalog"
+	"github.com/oatlatch/oatlatch/internal/feed"
 	"github.com/oatlatch/oatlatch/internal/gobpack"
 	"github.com/oatlatch/oatlatch/internal/host"
 )
@@ -19,6 +20,11 @@
 	// channel that is closed at the next change. It returns false if the host needs a
 	// listing instead.
 	ChangesSince(have catalog.Have) (catalog.Update, <-chan struct{}, bool)
+	// Progress returns what the host knows, and a channel that is closed at the next change.
+	// It returns false while the catalog is incomplete.
+	Progress() (feed.PeerProgress, <-chan struct{}, bool)
+	// NotePartner records the progress of a host that asks this one for its own.
+	NotePartner(name string, known catalog.Progress)
 	// NoteFollower records the state of a host that reads this one.
 	NoteFollower(name string, have catalog.Have)
 }
@@ -72,3 +78,23 @@
 	reply.Known = err == nil
 	return err
 }
+
+// Progress returns what this host knows. If that is nothing which the caller lacks, it waits
+// for the next change for up to args.Wait, but at most for maxWait.
+func (s *Service) Progress(args *ProgressArgs, reply *ProgressReply) error {
+	s.catalog.NotePartner(string(s.follower), args.Own)
+	known, changed, ready := s.catalog.Progress()
+	if wait := min(args.Wait, maxWait); ready && wait > 0 && !args.Own.Lacks(known.Progress) {
+		timer := time.NewTimer(wait)
+		defer timer.Stop()
+		select {
+		case <-changed:
+		case <-timer.C:
+		case <-args.ctx.Done():
+			return args.ctx.Err()
+		}
+		known, _, ready = s.catalog.Progress()
+	}
+	reply.Ready, reply.Known = ready, known
+	return nil
+}
--- a/internal/edge/host.go
+++ b/internal/edge/host.go
@@ -124,6 +124,9 @@
 	group, groupCtx := errgroup.WithContext(workCtx)
 	group.Go(func() error { return h.forwarder.Run(groupCtx) })
 	group.Go(func() error { return h.feed.Run(groupCtx) })
+	for slot := range feed.PartnerSlots {
+		group.Go(func() error { return h.feed.RunPartner(groupCtx, slot) })
+	}
 	group.Go(func() error { return h.seeding.run(groupCtx, h.options.Settings.Store.Seeds) })
 	group.Go(func() error { return h.prober.run(groupCtx) })
 	group.Go(func() error { return new(stallDetector).run(groupCtx, h.options.Now, h.options.Logger) })
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -78,7 +78,7 @@
 
 // feedSource returns a source that reads the catalog from another host, or nil
 // while the peer key is unknown.
-func (p *peers) feedSource(h catalog.Host) feed.Source {
+func (p *peers) feedSource(h catalog.Host) feed.PeerSource {
 	client := p.client.Load()
 	if client == nil {
 		return nil
--- a/internal/experiment/lag/clock.go
+++ b/internal/experiment/lag/clock.go
@@ -5,8 +5,13 @@
 	"time"
 )
 
-// clock is the clock of all feeds of a simulation. It implements feed.Clock.
-type clock struct{ *scheduler }
+// clock is the clock of the feed of a host. It implements feed.Clock.
+type clock struct {
+	*scheduler
+	// host is the host whose callers are notified after each step of its processes; nil if
+	// there is none.
+	host *simulatedHost
+}
 
 func (c clock) Now() time.Time { return c.now }
 
@@ -22,6 +27,8 @@
 	return limited, limited.cancel
 }
 
+func (c clock) AfterFunc(d time.Duration, f func()) { c.start(c.now.Add(d), c.host.notify, f) }
+
 // waitUntil suspends the current process until the time, or until ctx ends. It returns the
 // error of ctx in the latter case.
 func (c clock) waitUntil(ctx context.Context, until time.Time) error {
--- a/internal/experiment/lag/host.go
+++ b/internal/experiment/lag/host.go
@@ -26,6 +26,8 @@
 	known [streams]int
 	// worst is the longest time for which the host lacked a change that another knew.
 	worst time.Duration
+	// worstAt is when that ended.
+	worstAt time.Time
 	// calls and served are the calls that the host has made to others and answered.
 	calls, served int
 }
@@ -83,7 +85,9 @@
 // noteLag records that the host has lacked a change that was first known at the time.
 func (h *simulatedHost) noteLag(first time.Time) {
 	if !first.IsZero() && !h.sim.now.Before(h.sim.faultsFrom) {
-		h.worst = max(h.worst, h.sim.now.Sub(first))
+		if lag := h.sim.now.Sub(first); lag > h.worst {
+			h.worst, h.worstAt = lag, h.sim.now
+		}
 	}
 }
 
--- a/internal/experiment/lag/options.go
+++ b/internal/experiment/lag/options.go
@@ -32,7 +32,7 @@
 // DefaultOptions returns the options of a quiet day.
 func DefaultOptions() Options {
 	return Options{
-		Seed: 1, DataCentres: 7, Hosts: 30, Limit: 5 * time.Second, HostFaults: Faults(), StoreFaults: Faults(),
+		Seed: 1, DataCentres: 7, Hosts: 30, Limit: 5 * time.Second, HostFaults: HostFaults(), StoreFaults: StoreFaults(),
 		Warmup: 12 * time.Second, Duration: 20 * time.Second, Drains: 500 * time.Millisecond, Configurations: 2 * time.Second,
 	}
 }
--- a/internal/experiment/lag/result.go
+++ b/internal/experiment/lag/result.go
@@ -15,6 +15,8 @@
 	Worst       time.Duration
 	WorstHost   string
 	WorstSource Fault
+	// WorstAt is when that ended, from the end of the warm-up.
+	WorstAt time.Duration
 	// Samples are the quantiles of the lag over time.
 	Samples []Sample
 	// Calls are the calls a second that a host makes to others on average, RemoteCalls those
--- a/internal/experiment/lag/simulation.go
+++ b/internal/experiment/lag/simulation.go
@@ -54,7 +54,7 @@
 func Run(options Options) Result {
 	s := &simulation{options: options, random: rand.New(rand.NewPCG(options.Seed, 0)), byName: make(map[string]*simulatedHost)}
 	s.now = time.Unix(1_000_000, 0)
-	s.clock = clock{&s.scheduler}
+	s.clock = clock{scheduler: &s.scheduler}
 	s.store.clock = s.clock
 	s.faultsFrom = s.now.Add(options.Warmup)
 	s.load = load{from: s.faultsFrom, servedSecond: make(map[*simulatedHost]int)}
@@ -77,15 +77,19 @@
 			panic(err) // metrics that are not registered cannot fail
 		}
 		h.feed = feed.New(feed.Options{
-			Self: h.name, DataCentre: h.dataCentre, Store: h.store, Peer: func(to catalog.Host) feed.Source { return s.peer(h, to.Name) },
-			Timing: feed.NewTiming(s.options.Limit), OnView: h.onView, Logger: zerolog.Nop(), Metrics: metrics, Clock: s.clock,
+			Self: h.name, DataCentre: h.dataCentre, Store: h.store, Peer: func(to catalog.Host) feed.PeerSource { return s.peer(h, to.Name) },
+			Timing: feed.NewTiming(s.options.Limit), OnView: h.onView, Logger: zerolog.Nop(), Metrics: metrics, Clock: clock{scheduler: &s.scheduler, host: h},
 			Seed: s.options.Seed<<16 + uint64(i),
 		})
 		s.hosts = append(s.hosts, h)
 		s.byName[h.name] = h
 		address := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(i >> 8), byte(i)}), 7000)
 		s.store.write(catalog.Change{Host: &catalog.Host{Name: h.name, DataCentre: h.dataCentre, Peer: address, Joined: s.store.revision + 1}}, -1)
-		h.run(s.now.Add(s.upTo(startSpread)), h.feed.Run)
+		start := s.now.Add(s.upTo(startSpread))
+		h.run(start, h.feed.Run)
+		for slot := range feed.PartnerSlots {
+			h.run(start, func(ctx context.Context) error { return h.feed.RunPartner(ctx, slot) })
+		}
 	}
 	for _, i := range s.random.Perm(len(s.hosts))[:int(s.options.FaultyHosts*float64(len(s.hosts)))] {
 		s.hosts[i].serves = s.options.HostFaults[s.random.IntN(len(s.options.HostFaults))]
@@ -106,7 +110,7 @@
 }
 
 // peer returns the named host as a source of another one.
-func (s *simulation) peer(from *simulatedHost, name string) feed.Source {
+func (s *simulation) peer(from *simulatedHost, name string) feed.PeerSource {
 	to := s.byName[name]
 	if to == nil {
 		return nil
@@ -192,9 +196,12 @@
 			continue
 		}
 		r.Measured++
-		h.worst = max(h.worst, h.lag())
+		if lag := h.lag(); lag > h.worst {
+			h.worst, h.worstAt = lag, s.now
+		}
 		if h.worst > r.Worst {
 			r.Worst, r.WorstHost, r.WorstSource = h.worst, h.name, h.stored
+			r.WorstAt = h.worstAt.Sub(s.faultsFrom)
 		}
 	}
 	seconds := (s.options.Duration + settleTime).Seconds()
--- a/internal/feed/consult.go
+++ b/internal/feed/consult.go
@@ -15,6 +15,10 @@
 	consultTimeout = time.Second
 )
 
+// errListing means that the answer of a host was not merged, because it would have ended an
+// unfinished listing.
+var errListing = errors.New("a listing of the store is being read: wait for its end")
+
 // NoteFollower records the state of a host that reads this one. If the host knows more,
 // for example because it ran while the store lost changes and this host has started since,
 // it is read at the next opportunity.
@@ -41,11 +45,15 @@
 // does not interrupt a listing.
 func (f *Feed) consultFollower(ctx context.Context) {
 	f.mu.Lock()
-	name := f.follower
+	name, listed := f.follower, f.listed
 	f.follower = ""
+	var h *catalog.Host
+	if known := f.selector.peer(name); known != nil {
+		follower := *known
+		h = &follower
+	}
 	f.mu.Unlock()
-	h := f.selector.peer(name)
-	if h == nil || !f.listed || f.options.Clock.Now().Sub(f.consultedAt) < consultInterval {
+	if h == nil || !listed || f.options.Clock.Now().Sub(f.consultedAt) < consultInterval {
 		return
 	}
 	f.consultedAt = f.options.Clock.Now()
@@ -55,21 +63,21 @@
 	}
 	ctx, cancel := f.options.Clock.WithTimeout(ctx, consultTimeout)
 	defer cancel()
-	f.currentSource = name
-	err := f.readFollower(ctx, source)
+	err := f.readHost(ctx, source)
 	f.options.Metrics.observeCall(true, err)
 	have := f.have()
 	f.options.Logger.Info().Str("source", name).Uint64("version", have.Version).Int("overrides", have.Overrides).Err(err).Msg("follower_consulted")
-	f.publishView()
+	f.publishView(name)
 }
 
-// readFollower merges what the source knows, whichever host it reads itself.
-func (f *Feed) readFollower(ctx context.Context, source Source) error {
-	update, err := source.Watch(ctx, f.have(), confirmWait)
+// readHost merges what the source knows, whichever host it reads itself.
+func (f *Feed) readHost(ctx context.Context, source Source) error {
+	have := f.have()
+	update, err := source.Watch(ctx, have, confirmWait)
 	if err == nil {
 		f.mu.Lock()
 		defer f.mu.Unlock()
-		if !f.catalog.Apply(f.options.Clock.Now(), update) {
+		if !f.catalog.Apply(f.options.Clock.Now(), update) && !f.supersededLocked(have) {
 			return ErrCompacted
 		}
 		return nil
@@ -83,6 +91,9 @@
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if f.catalog.Listing() {
+		return errListing
+	}
 	f.catalog.BeginListing()
 	return f.catalog.AddPage(f.options.Clock.Now(), page)
 }
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -15,6 +15,7 @@
 
 	"github.com/oatlatch/oatlatch/internal/catalog"
 	"github.com/oatlatch/oatlatch/internal/snapshot"
+	"github.com/oatlatch/oatlatch/internal/wait"
 )
 
 const (
@@ -40,6 +41,9 @@
 // ErrStale means that the entry host that was read had no recent contact with the store.
 var ErrStale = errors.New("entry host has lost contact with the store: read another source")
 
+// ErrIsolated means that no source answers the entry host that was read.
+var ErrIsolated = fmt.Errorf("%w: no source answers it", ErrStale)
+
 // ErrLoop means that the entry host that was read itself reads this host.
 var ErrLoop = errors.New("entry host reads this host: read another source")
 
@@ -60,7 +64,7 @@
 	OnStoreRead func()
 	// Peer returns a source that reads another entry host, or nil while hosts cannot
 	// call each other.
-	Peer   func(catalog.Host) Source
+	Peer   func(catalog.Host) PeerSource
 	Timing Timing
 	// OnView is called with each changed view once there is a configuration and either
 	// a complete listing or some upstream.
@@ -75,21 +79,17 @@
 	Seed uint64
 }
 
-// Feed keeps a catalog up to date. Its methods other than Run may be called
-// concurrently with Run.
+// Feed keeps a catalog up to date. Its methods may be called concurrently, Run only once
+// and RunPartner only once for each slot.
 type Feed struct {
-	options  Options
-	random   *rand.Rand
-	selector *sourceSelector
+	options Options
+	random  *rand.Rand
 	// failures is the number of consecutive failed calls.
 	failures int
 	// lastSource is the name of the source that answered last.
 	lastSource string
-	// currentSource is the name of the source of the current call.
-	currentSource string
-	// listed is set once a listing is complete. Until then, nextPage is the cursor of
-	// the next page to read, which is empty for the first one.
-	listed   bool
+	// nextPage is the cursor of the next page to read until a listing is complete. It is
+	// empty for the first page.
 	nextPage string
 	// allowStale allows the store to answer a listing with stale pages. It is set for
 	// the first listing only.
@@ -104,15 +104,27 @@
 	compactions int
 	// lastChanges is the number of changes in the last answer.
 	lastChanges int
-	// unpublished is the last view that could not be served yet; nil if there is none.
-	unpublished *catalog.View
 	// consultedAt is when a follower was last consulted.
 	consultedAt time.Time
 
-	// mu guards the fields below.
-	mu      sync.Mutex
-	timing  Timing
-	catalog *catalog.Catalog
+	// background are the reads of hosts that have told that they know more.
+	background *background
+
+	// publishing is held while a view is published, so that views are published in order. It
+	// guards unpublished, the last view that could not be served yet; nil if there is none.
+	publishing  sync.Mutex
+	unpublished *catalog.View
+
+	// mu guards the fields below. It may be locked while publishing is held, but not the
+	// other way round.
+	mu sync.Mutex
+	// listed is set once a listing is complete.
+	listed   bool
+	selector *sourceSelector
+	partners *partnerSet
+	lag      lagState
+	timing   Timing
+	catalog  *catalog.Catalog
 	// changed is closed and replaced when the catalog's view changes.
 	changed chan struct{}
 	// via is the name of the host that is read; empty if the store is read.
@@ -126,13 +138,15 @@
 func New(options Options) *Feed {
 	random := rand.New(rand.NewPCG(options.Seed, options.Seed))
 	if options.Clock == nil {
-		options.Clock = systemClock{now: options.Now}
+		options.Clock = wait.Clock{Time: options.Now}
 	}
 	return &Feed{
 		options: options, random: random, allowStale: true, timing: options.Timing,
-		selector: newSourceSelector(options.Self, options.DataCentre, random),
-		catalog:  catalog.New(catalog.Options{OutageThreshold: options.Timing.OutageThreshold()}),
-		changed:  make(chan struct{}),
+		selector:   newSourceSelector(options.Self, options.DataCentre, random),
+		partners:   newPartnerSet(options.Self, options.DataCentre),
+		catalog:    catalog.New(catalog.Options{OutageThreshold: options.Timing.OutageThreshold()}),
+		changed:    make(chan struct{}),
+		background: newBackground(options.Clock),
 	}
 }
 
@@ -155,6 +169,7 @@
 
 // Run reads from sources until ctx ends. It always returns nil.
 func (f *Feed) Run(ctx context.Context) error {
+	defer f.background.stop()
 	f.restore(ctx)
 	for {
 		delay := f.poll(ctx)
@@ -167,10 +182,7 @@
 // poll makes one call to a source and returns the delay before the next one.
 func (f *Feed) poll(ctx context.Context) time.Duration {
 	f.consultFollower(ctx)
-	target := f.selector.next(f.options.Clock.Now())
-	if f.confirming {
-		target = nil
-	}
+	target, listing := f.nextSource()
 	source, name := f.options.Store, storeName
 	if target != nil {
 		if peer := f.options.Peer(*target); peer != nil {
@@ -179,24 +191,22 @@
 			target = nil
 		}
 	}
-	f.currentSource = name
 	f.setVia(target)
-	listing := !f.listed
-	err := f.read(ctx, source, target != nil)
+	err := f.read(ctx, source, listing, target != nil)
 	confirmed := f.confirming
 	f.confirming = false
 	if ctx.Err() != nil {
 		return 0
 	}
 	f.options.Metrics.observeCall(target != nil, err)
-	f.publishView()
+	f.publishView(name)
 	if err != nil && !errors.Is(err, ErrCompacted) {
-		f.selector.recordFailure(f.options.Clock.Now(), target)
+		f.recordSourceFailure(target)
 		return f.recordFailure(name, err)
 	}
-	f.selector.recordSuccess(target)
+	complete := f.recordSourceSuccess(target)
 	f.recordSuccess(name)
-	if target == nil && f.listed && f.options.OnStoreRead != nil {
+	if target == nil && complete && f.options.OnStoreRead != nil {
 		f.options.OnStoreRead()
 	}
 	switch {
@@ -217,6 +227,33 @@
 	}
 }
 
+// nextSource returns the host to read, or nil for the store, and whether to read a listing.
+func (f *Feed) nextSource() (target *catalog.Host, listing bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if !f.confirming {
+		target = f.selector.next(f.options.Clock.Now())
+	}
+	return target, !f.listed
+}
+
+// recordSourceFailure records a failed call to the host, or to the store if it is nil.
+func (f *Feed) recordSourceFailure(target *catalog.Host) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.selector.recordFailure(f.options.Clock.Now(), target)
+}
+
+// recordSourceSuccess records that the host, or the store if it is nil, answered. It
+// reports whether the last listing is complete.
+func (f *Feed) recordSourceSuccess(target *catalog.Host) (listed bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.selector.recordSuccess(target)
+	f.lag.answeredAt = f.options.Clock.Now()
+	return f.listed
+}
+
 // relistDelay returns the delay before a listing that replaces a watch. It grows while no
 // watch is answered, so that a store which refuses each position is not called in a loop.
 func (f *Feed) relistDelay() time.Duration {
@@ -249,14 +286,14 @@
 // read makes one call to the source and merges the answer into the catalog. For a peer,
 // it returns ErrLoop if the peer reads this host, and ErrStale if the peer had no recent
 // contact with the store; the answer is merged even so.
-func (f *Feed) read(ctx context.Context, source Source, fromPeer bool) error {
+func (f *Feed) read(ctx context.Context, source Source, listing, fromPeer bool) error {
 	var age time.Duration
 	var via string
 	var err error
-	if f.listed {
-		age, via, err = f.watch(ctx, source)
-	} else {
+	if listing {
 		age, via, err = f.list(ctx, source, fromPeer)
+	} else {
+		age, via, err = f.watch(ctx, source)
 	}
 	if err == nil && fromPeer && via == f.options.Self {
 		return ErrLoop
@@ -281,6 +318,13 @@
 // restartListing makes the next call read the first page of a new listing, which must
 // not be stale.
 func (f *Feed) restartListing() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.restartListingLocked()
+}
+
+// restartListingLocked is restartListing with f.mu held.
+func (f *Feed) restartListingLocked() {
 	f.listed, f.nextPage, f.allowStale = false, "", false
 }
 
@@ -297,6 +341,7 @@
 	if after == "" && f.currentRequired.Load() {
 		f.allowStale = false
 	}
+	before := f.have().Position
 	page, err := source.List(ctx, after, f.allowStale)
 	if err != nil {
 		return 0, "", err
@@ -305,9 +350,12 @@
 	defer f.mu.Unlock()
 	if after == "" {
 		f.catalog.BeginListing()
+		// A partner may have told of later changes during the call. Only a page that lacks
+		// what was known before it shows a restore of the store.
+		page.Current = page.Current && (before.After(page.Position) || before == f.catalog.Position())
 	}
 	if err := f.catalog.AddPage(f.options.Clock.Now(), page); err != nil {
-		f.restartListing()
+		f.restartListingLocked()
 		return 0, "", err
 	}
 	f.nextPage, f.listed = page.Next, page.Next == ""
@@ -320,23 +368,35 @@
 func (f *Feed) watch(ctx context.Context, source Source) (age time.Duration, via string, err error) {
 	ctx, cancel := f.options.Clock.WithTimeout(ctx, f.currentTiming().callTimeout())
 	defer cancel()
-	wait := f.currentTiming().Wait
+	hold := f.currentTiming().Wait
 	if f.confirming {
-		wait = confirmWait
+		hold = confirmWait
 	}
-	update, err := source.Watch(ctx, f.have(), wait)
+	have := f.have()
+	update, err := source.Watch(ctx, have, hold)
 	if err != nil {
 		return 0, "", err
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if !f.catalog.Apply(f.options.Clock.Now(), update) {
+	if !f.catalog.Apply(f.options.Clock.Now(), update) && !f.supersededLocked(have) {
 		return 0, "", ErrCompacted
 	}
 	f.compactions, f.lastChanges = 0, len(update.Changes)
+	if update.Isolated {
+		return 0, "", ErrIsolated
+	}
 	return update.Age, update.Via, nil
 }
 
+// supersededLocked reports whether a partner has told of another configuration or of a
+// restore of the store since the catalog had the given state. An answer to a call with that
+// state may then not fit the catalog; the next one does. f.mu must be held.
+func (f *Feed) supersededLocked(have catalog.Have) bool {
+	now := f.catalog.Have()
+	return now.Version != have.Version || now.Position.Epoch != have.Position.Epoch
+}
+
 func (f *Feed) have() catalog.Have {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/internal/feed/metrics.go
+++ b/internal/feed/metrics.go
@@ -46,6 +46,16 @@
 	m.calls.WithLabelValues(source, outcome(err)).Inc()
 }
 
+// observePartnerCall counts a call that asks a partner what it knows.
+func (m *Metrics) observePartnerCall(err error) {
+	m.calls.WithLabelValues("partner", outcome(err)).Inc()
+}
+
+// observePartnerRead counts a read of a partner that knew more than this host.
+func (m *Metrics) observePartnerRead(err error) {
+	m.calls.WithLabelValues("partner_read", outcome(err)).Inc()
+}
+
 // outcome returns the value of the metric label outcome for the error of a call.
 func outcome(err error) string {
 	var status *StatusError
--- a/internal/feed/restore.go
+++ b/internal/feed/restore.go
@@ -27,8 +27,7 @@
 		}
 		return
 	}
-	f.currentSource = storeName
-	f.publishView()
+	f.publishView(storeName)
 }
 
 // readSnapshot merges the snapshot in the store into the catalog.
--- a/internal/feed/snapshot.go
+++ b/internal/feed/snapshot.go
@@ -26,7 +26,7 @@
 		return catalog.Update{}, f.changed, false
 	}
 	update, ok := f.catalog.ChangesSince(f.options.Clock.Now(), have)
-	update.Position, update.Via = f.catalog.Position(), f.via
+	update.Position, update.Via, update.Isolated = f.catalog.Position(), f.via, f.isolatedLocked()
 	return update, f.changed, ok
 }
 
--- a/internal/feed/source.go
+++ b/internal/feed/source.go
@@ -22,6 +22,23 @@
 	Watch(ctx context.Context, have catalog.Have, wait time.Duration) (catalog.Update, error)
 }
 
+// PeerSource is another entry host as a source.
+type PeerSource interface {
+	Source
+	// Progress returns what the host knows, as soon as that is something which a host with
+	// the given progress lacks, but after the time wait at the latest.
+	Progress(ctx context.Context, own catalog.Progress, wait time.Duration) (PeerProgress, error)
+}
+
+// PeerProgress is what another entry host knows.
+type PeerProgress struct {
+	catalog.Progress
+	// Age is the time since the store last answered that host, directly or through others.
+	Age time.Duration
+	// Isolated is set if that host takes itself to be cut off from the store and from others.
+	Isolated bool
+}
+
 // ErrCompacted means that the source no longer has the requested changes, or that they
 // could not be merged into the catalog.
 var ErrCompacted = errors.New("requested changes are no longer available: read a listing")
--- a/internal/feed/view.go
+++ b/internal/feed/view.go
@@ -2,32 +2,38 @@
 
 import "github.com/oatlatch/oatlatch/internal/catalog"
 
-// publishView logs the catalog's events. If the view changed, it also wakes the watches
-// of other hosts, and calls OnView under the conditions stated there.
-func (f *Feed) publishView() {
+// publishView logs the catalog's events with the source that was read last. If the view
+// changed, it also wakes the calls of other hosts, and calls OnView under the conditions
+// stated there.
+func (f *Feed) publishView(source string) {
+	f.publishing.Lock()
+	defer f.publishing.Unlock()
 	f.mu.Lock()
 	view, ok := f.catalog.TakeView()
 	events := f.catalog.TakeEvents()
+	listed := f.listed
 	if ok {
 		close(f.changed)
 		f.changed = make(chan struct{})
+		f.selector.setHosts(view.Hosts)
+		f.partners.setHosts(view.Hosts)
+		f.tellPartnersSoonLocked()
 	}
 	f.mu.Unlock()
-	f.logEvents(events)
+	f.logEvents(source, events)
 	if ok {
-		f.selector.setHosts(view.Hosts)
 		f.unpublished = &view
 	}
-	if v := f.unpublished; v != nil && v.Configuration != nil && (f.listed || len(v.Upstreams) > 0) {
+	if v := f.unpublished; v != nil && v.Configuration != nil && (listed || len(v.Upstreams) > 0) {
 		f.unpublished = nil
 		f.options.OnView(*v)
 	}
 }
 
-// logEvents logs changes of the catalog together with the source that was read last.
-func (f *Feed) logEvents(events []catalog.Event) {
+// logEvents logs changes of the catalog together with their source.
+func (f *Feed) logEvents(source string, events []catalog.Event) {
 	for _, e := range events {
-		line := f.options.Logger.Info().Str("source", f.currentSource).Uint64("epoch", e.Position.Epoch).Uint64("revision", e.Position.Revision)
+		line := f.options.Logger.Info().Str("source", source).Uint64("epoch", e.Position.Epoch).Uint64("revision", e.Position.Revision)
 		switch e.Kind {
 		case catalog.StoreRestored:
 			f.options.Metrics.restores.Inc()
