feed: watch the operator's records apart, without a pause

Cause: a host that reads the store pauses for 0.3 of the time limit between two watches (1.5 s of 5 s), so that one call brings all changes of the pause. A configuration waits for it as well.

Change: the first host of each data centre holds a second watch of 20 s on the operator's keys alone. platform.Store offers it as feed.OperatorSource, so that the feed does not know the prefix. Its changes are merged at once and the position stays. Have.Ahead tells a source that the follower has such a record, so that it is not answered in a loop; Progress.Operator is kept apart from Newest, so that such a record does not hide an earlier change that is lacking.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -63,8 +63,9 @@
 	// position is the position up to which the catalog is complete. Its revision is zero
 	// until the first listing is complete.
 	position Position
-	// newest is the position of the last change of the view.
-	newest Position
+	// newest is the position of the last change of the view, and operator that of the last
+	// change by the operator.
+	newest, operator Position
 	// compactedPosition is the position up to which the catalog may lack removals.
 	compactedPosition Position
 	// confirmed is set once a listing or a watch has shown that the catalog lacks nothing
@@ -123,7 +124,11 @@
 // Have returns the catalog's position and configuration version. From these, a source
 // determines which changes the catalog lacks.
 func (c *Catalog) Have() Have {
-	return Have{Position: c.position, Version: c.Version(), Overrides: c.overrides}
+	have := Have{Position: c.position, Version: c.Version(), Overrides: c.overrides}
+	if c.operator.After(c.position) {
+		have.Ahead = c.operator
+	}
+	return have
 }
 
 // Position returns the position up to which the catalog is complete.
--- a/internal/catalog/change.go
+++ b/internal/catalog/change.go
@@ -53,6 +53,9 @@
 	Version uint64
 	// Overrides is the number of upstreams of which the host knows more than the store.
 	Overrides int
+	// Ahead is the position up to which the host has the operator's records although its
+	// state is not complete that far; zero if it is.
+	Ahead Position
 }
 
 // Update holds the changes up to a position.
--- a/internal/catalog/listing.go
+++ b/internal/catalog/listing.go
@@ -82,7 +82,7 @@
 		c.mergeChange(now, change)
 	}
 	if page.Next == "" {
-		c.noteNewest(l.position, func() { c.finishListing(now, l) })
+		c.noteNewest(&c.newest, l.position, func() { c.finishListing(now, l) })
 		if !page.Unconfirmed {
 			c.confirm()
 		}
--- a/internal/catalog/restore.go
+++ b/internal/catalog/restore.go
@@ -33,7 +33,7 @@
 		h.position = first
 		c.hosts[name] = h
 	}
-	c.position, c.compactedPosition, c.newest = first, first, first
+	c.position, c.compactedPosition, c.newest, c.operator = first, first, first, first
 	c.configurationPosition, c.configurationOverride = first, c.configuration != nil
 	c.snapshot, c.snapshotPosition = StoredSnapshot{}, first
 	c.peerKeyPosition, c.peerKeyBeforeRestore = first, c.peerKey != nil
--- a/internal/edge/host.go
+++ b/internal/edge/host.go
@@ -124,6 +124,7 @@
 	group, groupCtx := errgroup.WithContext(workCtx)
 	group.Go(func() error { return h.forwarder.Run(groupCtx) })
 	group.Go(func() error { return h.feed.Run(groupCtx) })
+	group.Go(func() error { return h.feed.RunOperator(groupCtx) })
 	for slot := range feed.PartnerSlots {
 		group.Go(func() error { return h.feed.RunPartner(groupCtx, slot) })
 	}
--- a/internal/experiment/lag/host.go
+++ b/internal/experiment/lag/host.go
@@ -79,6 +79,9 @@
 			*first = now
 		}
 		h.noteLag(*first)
+		if s == configurationStream && h.measured() && !now.Before(h.sim.faultsFrom) {
+			h.sim.operator = max(h.sim.operator, now.Sub(h.sim.written[h.known[s]]))
+		}
 	}
 }
 
--- a/internal/experiment/lag/result.go
+++ b/internal/experiment/lag/result.go
@@ -17,6 +17,9 @@
 	WorstSource Fault
 	// WorstAt is when that ended, from the end of the warm-up.
 	WorstAt time.Duration
+	// Operator is the longest time from the acknowledgement of a configuration until a host
+	// that works had it in force.
+	Operator time.Duration
 	// Samples are the quantiles of the lag over time.
 	Samples []Sample
 	// Calls are the calls a second that a host makes to others on average, RemoteCalls those
--- a/internal/experiment/lag/simulation.go
+++ b/internal/experiment/lag/simulation.go
@@ -46,8 +46,12 @@
 	faultsFrom time.Time
 	// firstKnown holds when a measured host first knew each change of each stream.
 	firstKnown [streams][]time.Time
-	load       load
-	samples    []Sample
+	// written holds when the store acknowledged each configuration.
+	written []time.Time
+	load    load
+	samples []Sample
+	// operator is the longest time until a configuration was in force on a measured host.
+	operator time.Duration
 }
 
 // Run simulates the feeds. The options must be valid.
@@ -87,6 +91,7 @@
 		s.store.write(catalog.Change{Host: &catalog.Host{Name: h.name, DataCentre: h.dataCentre, Peer: address, Joined: s.store.revision + 1}}, -1)
 		start := s.now.Add(s.upTo(startSpread))
 		h.run(start, h.feed.Run)
+		h.run(start, h.feed.RunOperator)
 		for slot := range feed.PartnerSlots {
 			h.run(start, func(ctx context.Context) error { return h.feed.RunPartner(ctx, slot) })
 		}
@@ -127,10 +132,11 @@
 func (s *simulation) planChanges() {
 	configuration := s.store.write(catalog.Change{Configuration: &catalog.Configuration{Version: 1}}, -1)
 	version := uint64(1)
-	s.firstKnown[configurationStream] = []time.Time{{}}
+	s.firstKnown[configurationStream], s.written = []time.Time{{}}, []time.Time{{}}
 	s.plan(s.options.Configurations, func() {
 		version++
 		s.firstKnown[configurationStream] = append(s.firstKnown[configurationStream], time.Time{})
+		s.written = append(s.written, s.now)
 		s.store.write(catalog.Change{Configuration: &catalog.Configuration{Version: version}}, configuration)
 	})
 	s.plan(s.options.Drains, func() {
@@ -190,7 +196,7 @@
 
 // result evaluates the run.
 func (s *simulation) result() Result {
-	r := Result{Hosts: len(s.hosts), Samples: s.samples, ServedPeak: s.load.servedPeak, StorePeak: s.load.storePeak}
+	r := Result{Hosts: len(s.hosts), Operator: s.operator, Samples: s.samples, ServedPeak: s.load.servedPeak, StorePeak: s.load.storePeak}
 	for _, h := range s.hosts {
 		if !h.measured() {
 			continue
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -79,8 +79,8 @@
 	Seed uint64
 }
 
-// Feed keeps a catalog up to date. Its methods may be called concurrently, Run only once
-// and RunPartner only once for each slot.
+// Feed keeps a catalog up to date. Its methods may be called concurrently, Run and
+// RunOperator only once, and RunPartner only once for each slot.
 type Feed struct {
 	options Options
 	random  *rand.Rand
--- a/internal/feed/metrics.go
+++ b/internal/feed/metrics.go
@@ -56,6 +56,11 @@
 	m.calls.WithLabelValues("partner_read", outcome(err)).Inc()
 }
 
+// observeOperatorCall counts a watch of the operator's records.
+func (m *Metrics) observeOperatorCall(err error) {
+	m.calls.WithLabelValues("store_operator", outcome(err)).Inc()
+}
+
 // outcome returns the value of the metric label outcome for the error of a call.
 func outcome(err error) string {
 	var status *StatusError
