experiment, edge: show how far hosts are behind

Cause: neither an operator nor a developer could see the lag of a host.

Change: oatlatch experiment lag runs the simulation, prints lag, calls and bytes and plots the lag by quantile over time (--plot). The patterns stay the default of oatlatch experiment. Hosts have the metric oatlatch_feed_behind_seconds: for how long the host has known that another knows something newer.

--- a/cmd/oatlatch/experiment.go
+++ b/cmd/oatlatch/experiment.go
@@ -13,9 +13,15 @@
 	"github.com/oatlatch/oatlatch/internal/flow/echo"
 )
 
-// experimentCommand simulates patterns of load and faults under each policy for
-// choosing upstreams.
+// experimentCommand runs simulations in virtual time.
 type experimentCommand struct {
+	Patterns experimentPatternsCommand `cmd:"" default:"withargs" help:"Play patterns of load and faults under each way to choose upstreams (the default)."`
+	Lag      experimentLagCommand      `cmd:"" help:"Measure how far hosts are behind what others know while sources fail."`
+}
+
+// experimentPatternsCommand simulates patterns of load and faults under each policy for
+// choosing upstreams.
+type experimentPatternsCommand struct {
 	Pattern     string        `arg:"" optional:"" default:"all" help:"Pattern to play, or all. --list names them."`
 	List        bool          `help:"List the patterns."`
 	Seed        uint64        `default:"1" help:"Seed of the random choices."`
@@ -41,7 +47,7 @@
 }
 
 // Run lists the patterns, or runs them and prints a table of the results.
-func (c *experimentCommand) Run() error {
+func (c *experimentPatternsCommand) Run() error {
 	if c.List {
 		for _, p := range experiment.Patterns() {
 			fmt.Printf("%-18s %s\n", p.Name, p.Help)
@@ -80,7 +86,7 @@
 }
 
 // printAblations prints, for each pattern, what it is worth without each mechanism.
-func (c *experimentCommand) printAblations(patterns []experiment.Pattern, options experiment.Options) error {
+func (c *experimentPatternsCommand) printAblations(patterns []experiment.Pattern, options experiment.Options) error {
 	table := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
 	if !c.JSON {
 		fmt.Fprintln(table, "pattern\twithout\tworth\twith all\tspread\tfailed\twith all")
@@ -112,7 +118,7 @@
 
 // runPatterns runs each pattern under each policy. It prints each result as JSON at
 // once, or all results as a table at the end.
-func (c *experimentCommand) runPatterns(patterns []experiment.Pattern, options experiment.Options) ([]experiment.Result, error) {
+func (c *experimentPatternsCommand) runPatterns(patterns []experiment.Pattern, options experiment.Options) ([]experiment.Result, error) {
 	var results []experiment.Result
 	table := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
 	if !c.JSON {
--- a/cmd/oatlatch/main.go
+++ b/cmd/oatlatch/main.go
@@ -16,7 +16,7 @@
 	Publish    publishCommand    `cmd:"" help:"Check service files and publish them to the platform."`
 	Status     statusCommand     `cmd:"" help:"Show the state of entry hosts."`
 	Explain    explainCommand    `cmd:"" help:"Explain decisions about flows, by a host or by logs."`
-	Experiment experimentCommand `cmd:"" help:"Play patterns of load and faults in virtual time under each way to choose upstreams."`
+	Experiment experimentCommand `cmd:"" help:"Simulate load, faults and lag in virtual time."`
 	Demo       demoCommand       `cmd:"" help:"Run the whole path in one process on loopback and check the promises."`
 	Soak       soakCommand       `cmd:"" help:"Run edge hosts as processes on loopback, inject faults and check the promises."`
 	Standin    standinCommand    `cmd:"" help:"Run a small stand-in of an outside system, for trials."`
--- a/internal/edge/host.go
+++ b/internal/edge/host.go
@@ -90,6 +90,9 @@
 		Timing: feed.NewTiming(s.Store.ShortestApplyWithin()), OnView: h.applyView,
 		Logger: options.Logger, Metrics: feedMetrics, Now: options.Now, Seed: options.Seed,
 	})
+	if err := h.registerLag(); err != nil {
+		return nil, err
+	}
 	h.peers.catalog, h.snapshots.catalog = h.feed, h.feed
 	h.seeding = &seeding{logger: options.Logger, apply: h.serveView, requireCurrent: h.feed.RequireCurrent}
 	h.forwarder, err = forward.NewEchoForwarder(forward.EchoForwarderOptions{
@@ -115,6 +118,17 @@
 	return h, nil
 }
 
+// registerLag registers the metric that tells how far this host is behind.
+func (h *Host) registerLag() error {
+	behind := prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Name: "oatlatch_feed_behind_seconds", Help: "Time for which this host has known that another knows something newer; 0 if none does.",
+	}, func() float64 { return h.feed.Behind().Seconds() })
+	if err := h.registry.Register(behind); err != nil {
+		return fmt.Errorf("register the metric of the lag: %w", err)
+	}
+	return nil
+}
+
 // Run serves until ctx is cancelled, then drains: it keeps forwarding until routers
 // no longer send it packets or the drain's time limit is reached. Cancelling force
 // stops it at once.
--- a/internal/experiment/chart/chart_test.go
+++ b/internal/experiment/chart/chart_test.go
@@ -12,6 +12,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/oatlatch/oatlatch/internal/experiment"
+	"github.com/oatlatch/oatlatch/internal/experiment/lag"
 )
 
 // result returns a result with two windows.
@@ -48,6 +49,18 @@
 	}
 }
 
+func TestWriteLagDrawsALinePerQuantile(t *testing.T) {
+	g := NewWithT(t)
+	var out bytes.Buffer
+	r := lag.Result{Measured: 3, Samples: []lag.Sample{{}, {At: time.Second, Median: 1, P99: 2, Max: time.Second}}}
+	g.Expect(WriteLag(&out, r)).To(Succeed())
+	for _, label := range []string{"lag of 3 hosts", "median", "99%", "all"} {
+		g.Expect(out.String()).To(ContainSubstring(">" + label + "<"))
+	}
+	g.Expect(WriteLag(io.Discard, lag.Result{})).NotTo(Succeed())
+	g.Expect(WriteLag(failingWriter{}, r)).To(MatchError(io.ErrClosedPipe))
+}
+
 // failingWriter fails on every write.
 type failingWriter struct{}
 
--- a/internal/experiment/lag/peer_source.go
+++ b/internal/experiment/lag/peer_source.go
@@ -120,7 +120,7 @@
 		}
 		known, _, ready = s.to.feed.Progress()
 	}
-	s.count(&known)
+	s.countProgress(own, known)
 	if err := s.from.sim.travel(ctx, s.latency(), fault); err != nil {
 		return feed.PeerProgress{}, err
 	}
@@ -168,3 +168,17 @@
 		load.remoteBytes += int64(len(packed) + callBytes)
 	}
 }
+
+// countProgress counts the bytes of a call that asks a partner what it knows.
+func (s *peerSource) countProgress(own catalog.Progress, known feed.PeerProgress) {
+	load := &s.from.sim.load
+	if !s.from.sim.options.MeasureBytes || !load.counting(s.from.sim.now) {
+		return
+	}
+	n := load.progress.of(feed.PeerProgress{Progress: own}) + load.progress.of(known) + callBytes
+	load.bytes += n
+	load.partners += n
+	if s.from.dataCentre != s.to.dataCentre {
+		load.remoteBytes += n
+	}
+}
--- a/internal/experiment/lag/result.go
+++ b/internal/experiment/lag/result.go
@@ -31,8 +31,9 @@
 	StoreCalls float64
 	StorePeak  int
 	// Bytes are the bytes a second that a host receives from others on average, RemoteBytes
-	// those of them from other data centres. They are measured on request.
-	Bytes, RemoteBytes float64
+	// those of them from other data centres. PartnerBytes are those of the calls that ask
+	// partners what they know, in both directions. They are measured on request.
+	Bytes, RemoteBytes, PartnerBytes float64
 }
 
 // Sample holds the quantiles of the lag of the measured hosts at a time.
--- a/internal/experiment/lag/simulation.go
+++ b/internal/experiment/lag/simulation.go
@@ -213,7 +213,7 @@
 	seconds := (s.options.Duration + settleTime).Seconds()
 	perHost := seconds * float64(len(s.hosts))
 	r.Calls, r.RemoteCalls = float64(s.load.calls)/perHost, float64(s.load.remoteCalls)/perHost
-	r.Bytes, r.RemoteBytes = float64(s.load.bytes)/perHost, float64(s.load.remoteBytes)/perHost
+	r.Bytes, r.RemoteBytes, r.PartnerBytes = float64(s.load.bytes)/perHost, float64(s.load.remoteBytes)/perHost, float64(s.load.partners)/perHost
 	r.StoreCalls = float64(s.load.storeCalls) / seconds
 	return r
 }
