Merge the bound on the lag of hosts

Requests to evacuate are records of the operator like configurations: watched apart, merged ahead of the position, told to followers once; TestEvacuationAheadOfThePosition.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -70,6 +70,9 @@
 	// position is the position up to which the catalog is complete. Its revision is zero
 	// until the first listing is complete.
 	position Position
+	// newest is the position of the last change of the view, and operator that of the last
+	// change by the operator.
+	newest, operator Position
 	// compactedPosition is the position up to which the catalog may lack removals.
 	compactedPosition Position
 	// confirmed is set once a listing or a watch has shown that the catalog lacks nothing
@@ -138,7 +141,11 @@
 // Have returns the catalog's position and configuration version. From these, a source
 // determines which changes the catalog lacks.
 func (c *Catalog) Have() Have {
-	return Have{Position: c.position, Version: c.Version(), Overrides: c.overrides + c.evacuationOverrides(), HistoryFrom: c.historyFrom}
+	have := Have{Position: c.position, Version: c.Version(), Overrides: c.overrides + c.evacuationOverrides(), HistoryFrom: c.historyFrom}
+	if c.operator.After(c.position) {
+		have.Ahead = c.operator
+	}
+	return have
 }
 
 // Position returns the position up to which the catalog is complete.
@@ -166,7 +173,7 @@
 	c.mergeFormer(now, update.History)
 	previous, complete := c.position, true
 	for i := range update.Changes {
-		complete = c.applyChange(now, &update.Changes[i]) && complete
+		complete = c.mergeChange(now, &update.Changes[i]) && complete
 	}
 	if complete {
 		c.mergeUpdateHistory(now, &update, previous)
@@ -198,6 +205,10 @@
 	}
 }
 
+// NoteContact records that the store answered at the time now minus age, and that the
+// catalog lacks nothing that the answer told.
+func (c *Catalog) NoteContact(now time.Time, age time.Duration) { c.recordContact(now, age) }
+
 // recordContact records that the store answered at the time now minus age, and detects
 // the end of an outage.
 func (c *Catalog) recordContact(now time.Time, age time.Duration) {
--- a/internal/catalog/change.go
+++ b/internal/catalog/change.go
@@ -63,6 +63,9 @@
 	// HistoryFrom is the position from which on the host knows all configurations in force
 	// and all removals of upstreams.
 	HistoryFrom Position
+	// Ahead is the position up to which the host has the operator's records although its
+	// state is not complete that far; zero if it is.
+	Ahead Position
 }
 
 // Update holds the changes up to a position.
@@ -77,6 +80,9 @@
 	// History is what the source knows of configurations before the last one; nil if the
 	// update leaves out none since the position of the reader.
 	History *History
+	// Isolated is set if the source takes itself to be cut off from the store and from other
+	// hosts.
+	Isolated bool
 }
 
 // Page is one page of a listing of all records.
--- a/internal/catalog/listing.go
+++ b/internal/catalog/listing.go
@@ -106,10 +106,10 @@
 				l.configured = page.Position // the store has another one, of unknown age
 			}
 		}
-		c.applyChange(now, change)
+		c.mergeChange(now, change)
 	}
 	if page.Next == "" {
-		c.finishListing(now, l)
+		c.noteNewest(&c.newest, l.position, func() { c.finishListing(now, l) })
 		if !page.Unconfirmed {
 			c.confirm()
 		}
--- a/internal/edge/host.go
+++ b/internal/edge/host.go
@@ -96,6 +96,9 @@
 		Timing: feed.NewTiming(s.Store.ShortestApplyWithin()), Retention: catalog.RetentionOf(s.Limits.FlowAge), OnView: h.applyView,
 		Logger: options.Logger, Metrics: feedMetrics, Now: options.Now, Seed: options.Seed,
 	})
+	if err := h.registerLag(); err != nil {
+		return nil, err
+	}
 	h.peers.catalog, h.snapshots.catalog = h.feed, h.feed
 	h.seeding = &seeding{
 		logger: options.Logger, now: options.Now, retention: catalog.RetentionOf(s.Limits.FlowAge),
@@ -124,6 +127,17 @@
 	return h, nil
 }
 
+// registerLag registers the metric that tells how far this host is behind.
+func (h *Host) registerLag() error {
+	behind := prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Name: "oatlatch_feed_behind_seconds", Help: "Time for which this host has known that another knows something newer; 0 if none does.",
+	}, func() float64 { return h.feed.Behind().Seconds() })
+	if err := h.registry.Register(behind); err != nil {
+		return fmt.Errorf("register the metric of the lag: %w", err)
+	}
+	return nil
+}
+
 // Run serves until ctx is cancelled, then drains: it keeps forwarding until routers
 // no longer send it packets or the drain's time limit is reached. Cancelling force
 // stops it at once.
@@ -133,6 +147,10 @@
 	group, groupCtx := errgroup.WithContext(workCtx)
 	group.Go(func() error { return h.forwarder.Run(groupCtx) })
 	group.Go(func() error { return h.feed.Run(groupCtx) })
+	group.Go(func() error { return h.feed.RunOperator(groupCtx) })
+	for slot := range feed.PartnerSlots {
+		group.Go(func() error { return h.feed.RunPartner(groupCtx, slot) })
+	}
 	group.Go(func() error { return h.seeding.run(groupCtx, h.options.Settings.Store.Seeds) })
 	group.Go(func() error { return h.prober.run(groupCtx) })
 	group.Go(func() error { return new(stallDetector).run(groupCtx, h.options.Now, h.options.Logger) })
--- a/internal/feed/await_peers.go
+++ b/internal/feed/await_peers.go
@@ -16,5 +16,7 @@
 // otherwise may take longer than packets are held.
 func (f *Feed) awaitPeers() bool {
 	f.peerWaits++
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	return f.listed && f.peerWaits <= maxPeerWaits
 }
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -41,6 +41,9 @@
 // ErrStale means that the entry host that was read had no recent contact with the store.
 var ErrStale = errors.New("entry host has lost contact with the store: read another source")
 
+// ErrIsolated means that no source answers the entry host that was read.
+var ErrIsolated = fmt.Errorf("%w: no source answers it", ErrStale)
+
 // ErrLoop means that the entry host that was read itself reads this host.
 var ErrLoop = errors.New("entry host reads this host: read another source")
 
@@ -61,7 +64,7 @@
 	OnStoreRead func()
 	// Peer returns a source that reads another entry host, or nil while hosts cannot
 	// call each other.
-	Peer   func(catalog.Host) Source
+	Peer   func(catalog.Host) PeerSource
 	Timing Timing
 	// Retention is how long the catalog keeps what only flows opened earlier refer to;
 	// zero means catalog.DefaultRetention.
@@ -71,27 +74,25 @@
 	OnView  func(catalog.View)
 	Logger  zerolog.Logger
 	Metrics *Metrics
-	// Now returns the current time.
+	// Now returns the current time. It is not used if there is a Clock.
 	Now func() time.Time
+	// Clock is the clock; nil for one that runs in real time and reads Now.
+	Clock Clock
 	// Seed seeds the random backoff and the random choice of peers.
 	Seed uint64
 }
 
-// Feed keeps a catalog up to date. Its methods other than Run may be called
-// concurrently with Run.
+// Feed keeps a catalog up to date. Its methods may be called concurrently, Run and
+// RunOperator only once, and RunPartner only once for each slot.
 type Feed struct {
-	options  Options
-	random   *rand.Rand
-	selector *sourceSelector
+	options Options
+	random  *rand.Rand
 	// failures is the number of consecutive failed calls.
 	failures int
 	// lastSource is the name of the source that answered last.
 	lastSource string
-	// currentSource is the name of the source of the current call.
-	currentSource string
-	// listed is set once a listing is complete. Until then, nextPage is the cursor of
-	// the next page to read, which is empty for the first one.
-	listed   bool
+	// nextPage is the cursor of the next page to read until a listing is complete. It is
+	// empty for the first page.
 	nextPage string
 	// allowStale allows the store to answer a listing with stale pages. It is set for
 	// the first listing only.
@@ -106,17 +107,29 @@
 	compactions int
 	// lastChanges is the number of changes in the last answer.
 	lastChanges int
-	// unpublished is the last view that could not be served yet; nil if there is none.
-	unpublished *catalog.View
 	// consultedAt is when a follower was last consulted.
 	consultedAt time.Time
 	// peerWaits is the number of calls of awaitPeers.
 	peerWaits int
 
-	// mu guards the fields below.
-	mu      sync.Mutex
-	timing  Timing
-	catalog *catalog.Catalog
+	// background are the reads of hosts that have told that they know more.
+	background *background
+
+	// publishing is held while a view is published, so that views are published in order. It
+	// guards unpublished, the last view that could not be served yet; nil if there is none.
+	publishing  sync.Mutex
+	unpublished *catalog.View
+
+	// mu guards the fields below. It may be locked while publishing is held, but not the
+	// other way round.
+	mu sync.Mutex
+	// listed is set once a listing is complete.
+	listed   bool
+	selector *sourceSelector
+	partners *partnerSet
+	lag      lagState
+	timing   Timing
+	catalog  *catalog.Catalog
 	// changed is closed and replaced when the catalog's view changes.
 	changed chan struct{}
 	// via is the name of the host that is read; empty if the store is read.
@@ -129,11 +142,16 @@
 // New returns a feed with an empty catalog.
 func New(options Options) *Feed {
 	random := rand.New(rand.NewPCG(options.Seed, options.Seed))
+	if options.Clock == nil {
+		options.Clock = wait.Clock{Time: options.Now}
+	}
 	return &Feed{
 		options: options, random: random, allowStale: true, timing: options.Timing,
-		selector: newSourceSelector(options.Self, options.DataCentre, random),
-		catalog:  catalog.New(catalog.Options{OutageThreshold: options.Timing.OutageThreshold(), Retention: options.Retention}),
-		changed:  make(chan struct{}),
+		selector:   newSourceSelector(options.Self, options.DataCentre, random),
+		partners:   newPartnerSet(options.Self, options.DataCentre),
+		catalog:    catalog.New(catalog.Options{OutageThreshold: options.Timing.OutageThreshold(), Retention: options.Retention}),
+		changed:    make(chan struct{}),
+		background: newBackground(options.Clock),
 	}
 }
 
@@ -156,10 +174,11 @@
 
 // Run reads from sources until ctx ends. It always returns nil.
 func (f *Feed) Run(ctx context.Context) error {
+	defer f.background.stop()
 	f.restore(ctx)
 	for {
 		delay := f.poll(ctx)
-		if wait.Sleep(ctx, delay) != nil {
+		if f.options.Clock.Sleep(ctx, delay) != nil {
 			return nil
 		}
 	}
@@ -168,10 +187,7 @@
 // poll makes one call to a source and returns the delay before the next one.
 func (f *Feed) poll(ctx context.Context) time.Duration {
 	f.consultFollower(ctx)
-	target := f.selector.next(f.options.Now())
-	if f.confirming {
-		target = nil
-	}
+	target, listing := f.nextSource()
 	source, name := f.options.Store, storeName
 	if target != nil {
 		if peer := f.options.Peer(*target); peer != nil {
@@ -182,24 +198,22 @@
 			target = nil
 		}
 	}
-	f.currentSource = name
 	f.setVia(target)
-	listing := !f.listed
-	err := f.read(ctx, source, target != nil)
+	err := f.read(ctx, source, listing, target != nil)
 	confirmed := f.confirming
 	f.confirming = false
 	if ctx.Err() != nil {
 		return 0
 	}
 	f.options.Metrics.observeCall(target != nil, err)
-	f.publishView()
+	f.publishView(name)
 	if err != nil && !errors.Is(err, ErrCompacted) {
-		f.selector.recordFailure(f.options.Now(), target)
+		f.recordSourceFailure(target)
 		return f.recordFailure(name, err)
 	}
-	f.selector.recordSuccess(target)
+	complete := f.recordSourceSuccess(target)
 	f.recordSuccess(name)
-	if target == nil && f.listed && f.options.OnStoreRead != nil {
+	if target == nil && complete && f.options.OnStoreRead != nil {
 		f.options.OnStoreRead()
 	}
 	switch {
@@ -220,6 +234,33 @@
 	}
 }
 
+// nextSource returns the host to read, or nil for the store, and whether to read a listing.
+func (f *Feed) nextSource() (target *catalog.Host, listing bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if !f.confirming {
+		target = f.selector.next(f.options.Clock.Now())
+	}
+	return target, !f.listed
+}
+
+// recordSourceFailure records a failed call to the host, or to the store if it is nil.
+func (f *Feed) recordSourceFailure(target *catalog.Host) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.selector.recordFailure(f.options.Clock.Now(), target)
+}
+
+// recordSourceSuccess records that the host, or the store if it is nil, answered. It
+// reports whether the last listing is complete.
+func (f *Feed) recordSourceSuccess(target *catalog.Host) (listed bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.selector.recordSuccess(target)
+	f.lag.answeredAt = f.options.Clock.Now()
+	return f.listed
+}
+
 // relistDelay returns the delay before a listing that replaces a watch. It grows while no
 // watch is answered, so that a store which refuses each position is not called in a loop.
 func (f *Feed) relistDelay() time.Duration {
@@ -237,7 +278,7 @@
 	f.mu.Unlock()
 	pause := f.currentTiming().Pause
 	switch {
-	case restoredAt.IsZero() || f.options.Now().Sub(restoredAt) >= restoreAttention:
+	case restoredAt.IsZero() || f.options.Clock.Now().Sub(restoredAt) >= restoreAttention:
 		return pause
 	case f.lastChanges == 0:
 		return 0 // the watch itself has waited
@@ -252,14 +293,14 @@
 // read makes one call to the source and merges the answer into the catalog. For a peer,
 // it returns ErrLoop if the peer reads this host, and ErrStale if the peer had no recent
 // contact with the store; the answer is merged even so.
-func (f *Feed) read(ctx context.Context, source Source, fromPeer bool) error {
+func (f *Feed) read(ctx context.Context, source Source, listing, fromPeer bool) error {
 	var age time.Duration
 	var via string
 	var err error
-	if f.listed {
-		age, via, err = f.watch(ctx, source)
-	} else {
+	if listing {
 		age, via, err = f.list(ctx, source, fromPeer)
+	} else {
+		age, via, err = f.watch(ctx, source)
 	}
 	if err == nil && fromPeer && via == f.options.Self {
 		return ErrLoop
@@ -284,6 +325,13 @@
 // restartListing makes the next call read the first page of a new listing, which must
 // not be stale.
 func (f *Feed) restartListing() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.restartListingLocked()
+}
+
+// restartListingLocked is restartListing with f.mu held.
+func (f *Feed) restartListingLocked() {
 	f.listed, f.nextPage, f.allowStale = false, "", false
 }
 
@@ -291,7 +339,7 @@
 // results are the time since the store last answered and the name of the host that the
 // source itself reads, empty if that is the store.
 func (f *Feed) list(ctx context.Context, source Source, fromPeer bool) (age time.Duration, via string, err error) {
-	ctx, cancel := context.WithTimeout(ctx, pageTimeout)
+	ctx, cancel := f.options.Clock.WithTimeout(ctx, pageTimeout)
 	defer cancel()
 	after := f.nextPage
 	if fromPeer {
@@ -300,6 +348,7 @@
 	if after == "" && f.currentRequired.Load() {
 		f.allowStale = false
 	}
+	before := f.have().Position
 	page, err := source.List(ctx, after, f.allowStale)
 	if err != nil {
 		return 0, "", err
@@ -308,9 +357,12 @@
 	defer f.mu.Unlock()
 	if after == "" {
 		f.catalog.BeginListing()
+		// A partner may have told of later changes during the call. Only a page that lacks
+		// what was known before it shows a restore of the store.
+		page.Current = page.Current && (before.After(page.Position) || before == f.catalog.Position())
 	}
-	if err := f.catalog.AddPage(f.options.Now(), page); err != nil {
-		f.restartListing()
+	if err := f.catalog.AddPage(f.options.Clock.Now(), page); err != nil {
+		f.restartListingLocked()
 		return 0, "", err
 	}
 	f.nextPage, f.listed = page.Next, page.Next == ""
@@ -321,25 +373,37 @@
 
 // watch reads the changes after the catalog's position. Its results are those of list.
 func (f *Feed) watch(ctx context.Context, source Source) (age time.Duration, via string, err error) {
-	ctx, cancel := context.WithTimeout(ctx, f.currentTiming().callTimeout())
+	ctx, cancel := f.options.Clock.WithTimeout(ctx, f.currentTiming().callTimeout())
 	defer cancel()
-	wait := f.currentTiming().Wait
+	hold := f.currentTiming().Wait
 	if f.confirming {
-		wait = confirmWait
+		hold = confirmWait
 	}
-	update, err := source.Watch(ctx, f.have(), wait)
+	have := f.have()
+	update, err := source.Watch(ctx, have, hold)
 	if err != nil {
 		return 0, "", err
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if !f.catalog.Apply(f.options.Now(), update) {
+	if !f.catalog.Apply(f.options.Clock.Now(), update) && !f.supersededLocked(have) {
 		return 0, "", ErrCompacted
 	}
 	f.compactions, f.lastChanges = 0, len(update.Changes)
+	if update.Isolated {
+		return 0, "", ErrIsolated
+	}
 	return update.Age, update.Via, nil
 }
 
+// supersededLocked reports whether a partner has told of another configuration or of a
+// restore of the store since the catalog had the given state. An answer to a call with that
+// state may then not fit the catalog; the next one does. f.mu must be held.
+func (f *Feed) supersededLocked(have catalog.Have) bool {
+	now := f.catalog.Have()
+	return now.Version != have.Version || now.Position.Epoch != have.Position.Epoch
+}
+
 func (f *Feed) have() catalog.Have {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -376,5 +440,5 @@
 	if contact.IsZero() {
 		return 0
 	}
-	return f.options.Now().Sub(contact)
+	return f.options.Clock.Now().Sub(contact)
 }
