soak: a planned operation that moves a route and restarts hosts

Cause: no run started hosts after a configuration had moved a route, so the soak did not see that their open flows ended.

Change: move-route opens a flow of a route, moves the route to another service and restarts all hosts of a data centre one after the other, within the time that a configuration may take and after it. Requests on the flow must be answered until its upstream drains.

--- a/internal/soak/inject.go
+++ b/internal/soak/inject.go
@@ -55,6 +55,7 @@
 	{"settings", (*soakRun).replaceSettingsFile},
 	{"configuration", (*soakRun).changeConfiguration},
 	{"replace-upstream", (*soakRun).replaceUpstream},
+	{"move-route", (*soakRun).moveRoute},
 }
 
 // externalFaults are faults during which some guarantees need not hold.
@@ -139,7 +140,7 @@
 // it checks that the change is in force, unless there was a fault or another change
 // meanwhile.
 func (r *soakRun) changeConfiguration() {
-	fixedRoutes := 2 * len(services) // these routes are never removed
+	fixedRoutes := 2*len(services) + 1 // these routes are never removed
 	var changed standin.Route
 	add := len(r.routes) == fixedRoutes || r.random.IntN(2) == 0
 	if add {
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -66,6 +66,10 @@
 	lastStoreFaultEnd time.Time
 	activeStoreFaults int
 	lastRequestID     atomic.Uint64
+	// movingService is the index of the service of the moving route. routeMoving is set
+	// while moveRoute checks a flow of it.
+	movingService int
+	routeMoving   atomic.Bool
 }
 
 // Run runs a deployment and injects faults. An error means that the run could not be
@@ -107,6 +111,7 @@
 			standin.Route{Address: virtualAddress(i, 1), Service: service, Repeatable: true, Priority: 2, Timeout: int(requestTimeout.Milliseconds())},
 			standin.Route{Address: virtualAddress(i, 2), Service: service, Priority: 1, Timeout: int(requestTimeout.Milliseconds())})
 	}
+	r.routes = append(r.routes, standin.Route{Address: movingAddress, Service: services[0], Repeatable: true, Priority: 2, Timeout: int(requestTimeout.Milliseconds())})
 	for dc := range dataCentres {
 		for range upstreamsPerDataCentre {
 			for _, service := range services {
