--- a/internal/catalog/former_services.go
+++ b/internal/catalog/former_services.go
@@ -22,14 +22,6 @@
 	return f != nil && len(f.services[address]) > 0
 }
 
-// Len returns the number of routes with former services.
-func (f *FormerServices) Len() int {
-	if f == nil {
-		return 0
-	}
-	return len(f.services)
-}
-
 // add adds a service while the value is built.
 func (f *FormerServices) add(address netip.AddrPort, service string) {
 	if !f.Has(address, service) {
