feed: reserves ask another data centre in turn with their gateways

Cause: if both gateways of a data centre are cut off one way, they answer and know nothing new.

Change: each of the six reserves asks a gateway of its own data centre and one of another in turn, instead of others only while its gateways fail. The calls to gateways stay as many in all, half of them cross between data centres.

--- a/internal/feed/partners.go
+++ b/internal/feed/partners.go
@@ -20,12 +20,15 @@
 	// that few connections and bytes cross between data centres. With one, the loss of that
 	// host would cut its data centre off.
 	gateways = 2
-	// reserves is the number of hosts after the gateways that ask these as well, and other
-	// data centres while no gateway answers.
+	// reserves is the number of hosts after the gateways that ask, in turn, a gateway of their
+	// own data centre and one of another. With gateways alone, a data centre is behind for
+	// seconds if both answer although nothing reaches them.
 	reserves = 6
 	// fixedPartners is the number of partners that a slot asks in turn. A new partner costs
 	// a TLS handshake, so others are asked only while these fail.
 	fixedPartners = 3
+	// reservePartners is the same of the slot in which a reserve asks gateways.
+	reservePartners = 2
 	// partnerWait is how long a partner holds a call while it knows nothing new.
 	partnerWait = 800 * time.Millisecond
 	// partnerSlack is the time beyond that for the answer to arrive. It bounds how long a
@@ -93,9 +96,8 @@
 		case own >= 0 && own < gateways && len(remote) > 0:
 			s.setGatewayCandidates(p, neighbours, remote, own*PartnerSlots+i, i)
 		case own >= gateways && own < gateways+reserves && len(remote) > 0 && i == PartnerSlots-1:
-			p.candidates = append(p.candidates, local[own%gateways], local[(own+1)%gateways])
-			p.candidates = append(p.candidates, s.remoteCandidates(remote, own)...)
-			p.fixed = 1
+			p.candidates = slices.Insert(s.remoteCandidates(remote, own), 1, local[(own+1)%gateways], local[own%gateways])
+			p.fixed = reservePartners
 		case i < localSlots:
 			for j := i; j < len(neighbours); j += localSlots {
 				p.candidates = append(p.candidates, neighbours[j])
