inifile: report files of comments, repeated empty keys and mapped addresses

A file that holds only comments, a byte order mark or an empty [DEFAULT] section has no sections, so no required section was reported as missing and the file passed. ini.v1 drops empty values of repeated keys from ValueWithShadows unless PreserveEmptyShadowValues is set, so a repeated key with an empty line passed. ::ffff:0.0.0.0 is not IsUnspecified until it is unmapped, and 255.255.255.255 is neither unspecified nor multicast; AddrPort accepted both.

Ruled out: Uint, Float and Duration refuse empty values, NaN, infinities and values just outside of the range already; the test keeps that.

TestParseReportsFilesWithoutEntries, TestParseReportsRepeatedKeys and TestValuesAtTheEdges failed before, and pass with the change, as do the tests of service, servicefiles and settings.

--- a/internal/inifile/file.go
+++ b/internal/inifile/file.go
@@ -29,13 +29,14 @@
 		return f
 	}
 	if len(bytes.TrimSpace(data)) == 0 {
-		f.report("", "", "the file is empty", "write the sections and keys shown in the examples, or remove the file")
+		f.reportEmpty()
 		return f
 	}
 	parsed, err := ini.LoadSources(ini.LoadOptions{
 		AllowNonUniqueSections:     true,
 		AllowShadows:               true,
 		AllowDuplicateShadowValues: true,
+		PreserveEmptyShadowValues:  true,
 		IgnoreContinuation:         true,
 		KeyValueDelimiters:         "=",
 	}, data)
@@ -66,6 +67,14 @@
 		seen[name] = true
 		f.sections = append(f.sections, newSection(f, section))
 	}
+	if len(f.sections) == 0 && len(f.problems) == 0 {
+		f.reportEmpty()
+	}
+}
+
+// reportEmpty reports that the file has no sections.
+func (f *File) reportEmpty() {
+	f.report("", "", "the file is empty", "write the sections and keys shown in the examples, or remove the file")
 }
 
 // Section returns the section of the given name and marks it as known. If there is
--- a/internal/inifile/section.go
+++ b/internal/inifile/section.go
@@ -182,11 +182,15 @@
 }
 
 // isUsable reports whether the address can be that of a remote endpoint: it has no
-// zone and is neither unspecified nor multicast.
+// zone and is not unspecified, multicast or the IPv4 broadcast address.
 func isUsable(address netip.Addr) bool {
-	return address.Zone() == "" && !address.IsUnspecified() && !address.IsMulticast()
+	unmapped := address.Unmap()
+	return address.Zone() == "" && !unmapped.IsUnspecified() && !unmapped.IsMulticast() && unmapped != broadcast
 }
 
+// broadcast is the IPv4 broadcast address of the local network.
+var broadcast = netip.AddrFrom4([4]byte{255, 255, 255, 255})
+
 // reportUnreadKeys reports the keys that have not been read as unknown.
 func (s *Section) reportUnreadKeys() {
 	for i := range s.keys {
