peer: keep type definitions after a failed encode

When an argument or reply cannot be encoded, gob has already emitted the definitions of its types and emits them only once. messageWriter took the last gob message in the buffer for the value and dropped it, but after a failed encode every message in the buffer is a definition. All later messages of the type on the connection could not be decoded by the peer.

Ruled out: a message that is too large; there the last gob message is the value and the definitions were kept.

TestWriterKeepsDefinitionsOfFailedMessages failed before in the cases unregistered and nil_in_a_slice ("unknown type id or corrupted data"), and passes with the change.

--- a/internal/peer/messagewriter.go
+++ b/internal/peer/messagewriter.go
@@ -60,12 +60,13 @@
 	return nil
 }
 
-// encode replaces the contents of the buffer with the encoded value.
+// encode replaces the contents of the buffer with the encoded value. If that fails, the
+// buffer holds type definitions only, because the encoder writes the value last and whole.
 func (w *messageWriter) encode(value any) error {
 	w.buffer.Reset()
 	err := w.encoder.Encode(value)
 	if err != nil {
-		w.savePendingDefinitions(w.buffer.Bytes())
+		w.pendingDefinitions = append(w.pendingDefinitions, w.buffer.Bytes()...)
 	}
 	return err
 }
