peer: start the idle timeout when the last call ends

The server set the read deadline to IdleTimeout when it began to wait for the next message, whether or not calls were in progress. A call longer than that lost its connection and had its context cancelled. The read deadline is now unset while calls are in progress; finishCall sets it when the last one ends. Calls keep their own time limit, so a silent peer still frees the connection.

Ruled out: MessageTimeout, which replaces the deadline once a message has begun, and draining, whose interrupt comes after the new deadline.

The new spec "does not run while a call is in progress" failed before with "context canceled" and passes with the change; go test -race passes.

--- a/internal/peer/limits.go
+++ b/internal/peer/limits.go
@@ -17,8 +17,8 @@
 	HandshakeTimeout time.Duration
 	// MessageTimeout limits the transfer of a message once it has begun.
 	MessageTimeout time.Duration
-	// IdleTimeout is the time without a new message after which a server closes a
-	// connection. A client closes an idle connection earlier.
+	// IdleTimeout is the time without a call in progress or a new message after which a
+	// server closes a connection. A client closes an idle connection earlier.
 	IdleTimeout time.Duration
 	// CallTimeout is the time limit of a call that has no deadline.
 	CallTimeout time.Duration
--- a/internal/peer/servercodec.go
+++ b/internal/peer/servercodec.go
@@ -40,6 +40,8 @@
 	mu       sync.Mutex
 	calls    map[uint64]callState
 	draining bool
+	// awaiting is set while the reader waits for the first byte of a message.
+	awaiting bool
 	// fatalErr, if set, is the result of the next read. It closes the connection after a
 	// message that could not be decoded. Only the goroutine that reads requests uses it.
 	fatalErr error
@@ -87,20 +89,20 @@
 	}
 }
 
-// readHeader waits up to IdleTimeout for a message and reads its header. The whole
-// message must arrive within MessageTimeout.
+// readHeader waits for a message and reads its header. It waits up to IdleTimeout from
+// when no call is in progress. The whole message must arrive within MessageTimeout.
 func (c *serverCodec) readHeader() (requestHeader, error) {
 	var header requestHeader
 	if c.fatalErr != nil {
 		return header, c.fatalErr
 	}
-	if err := c.setReadDeadline(c.limits.IdleTimeout); err != nil {
+	if err := c.setReadDeadline(true); err != nil {
 		return header, err
 	}
 	if err := c.reader.awaitMessage(); err != nil {
 		return header, io.EOF
 	}
-	if err := c.setReadDeadline(c.limits.MessageTimeout); err != nil {
+	if err := c.setReadDeadline(false); err != nil {
 		return header, err
 	}
 	c.reader.startMessage()
@@ -108,15 +110,23 @@
 	return header, err
 }
 
-// setReadDeadline sets the read deadline, or returns io.EOF if the connection is
-// drained.
-func (c *serverCodec) setReadDeadline(timeout time.Duration) error {
+// setReadDeadline sets the read deadline for awaiting a message or for reading it, or
+// returns io.EOF if the connection is drained.
+func (c *serverCodec) setReadDeadline(awaiting bool) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.drained() {
 		return io.EOF
 	}
-	return c.conn.SetReadDeadline(time.Now().Add(timeout))
+	c.awaiting = awaiting
+	switch {
+	case !awaiting:
+		return c.conn.SetReadDeadline(time.Now().Add(c.limits.MessageTimeout))
+	case len(c.calls) > 0:
+		return c.conn.SetReadDeadline(time.Time{}) // finishCall starts the idle timeout
+	default:
+		return c.conn.SetReadDeadline(time.Now().Add(c.limits.IdleTimeout))
+	}
 }
 
 // drain refuses further calls and closes the connection once the calls in progress
@@ -296,6 +306,9 @@
 		c.releaseSlot()
 	}
 	delete(c.refusals, seq)
+	if c.awaiting && len(c.calls) == 0 {
+		_ = c.conn.SetReadDeadline(time.Now().Add(c.limits.IdleTimeout)) // fails only if the connection is closed
+	}
 	c.interruptIfDrained()
 }
 
