edge: refuse settings that a reload cannot apply, close sockets if New fails

Reload accepted changes of host.region, store.history, limits.bandwidth, limits.memory and log.level, logged settings_reloaded and put none of them in force, because they are read once at the start. They are now refused with RestartRequiredError.

New left the packet socket and the listeners opened before open when a later address could not be bound. It now closes the listeners and binds the packet socket last.

--- a/internal/edge/host.go
+++ b/internal/edge/host.go
@@ -59,9 +59,14 @@
 
 // New creates a host and binds its packet, readiness and metrics addresses. The host
 // serves nothing before Run.
-func New(options Options) (*Host, error) {
+func New(options Options) (_ *Host, err error) {
 	s := &options.Settings
 	h := &Host{options: options, registry: prometheus.NewRegistry()}
+	defer func() {
+		if err != nil {
+			h.closeListeners()
+		}
+	}()
 	h.settings.Store(s)
 	h.engine = echo.New(echo.Options{
 		DataCentre: s.Host.DataCentre, MaxFlows: s.Limits.Flows, Seed: options.Seed, Without: options.Without, OnEvent: h.handleEvent,
@@ -95,13 +100,6 @@
 		logger: options.Logger, now: options.Now, retention: catalog.RetentionOf(s.Limits.FlowAge),
 		apply: h.serveView, requireCurrent: h.feed.RequireCurrent,
 	}
-	h.forwarder, err = forward.NewEchoForwarder(forward.EchoForwarderOptions{
-		Listen: s.Listen.Packet, CallerPort: s.Listen.Packet.Port(), Codec: options.Codec, Engine: h.engine,
-		Logger: options.Logger, Registerer: h.registry, Now: options.Now, Started: options.Started,
-	})
-	if err != nil {
-		return nil, fmt.Errorf("settings:listen.packet: %w", err)
-	}
 	if h.readyListener, err = serve.Listen("ready", s.Listen.Ready); err != nil {
 		return nil, err
 	}
@@ -115,9 +113,26 @@
 			return nil, err
 		}
 	}
+	// The forwarder is last, because only its Run closes its socket.
+	h.forwarder, err = forward.NewEchoForwarder(forward.EchoForwarderOptions{
+		Listen: s.Listen.Packet, CallerPort: s.Listen.Packet.Port(), Codec: options.Codec, Engine: h.engine,
+		Logger: options.Logger, Registerer: h.registry, Now: options.Now, Started: options.Started,
+	})
+	if err != nil {
+		return nil, fmt.Errorf("settings:listen.packet: %w", err)
+	}
 	return h, nil
 }
 
+// closeListeners closes the listeners that are open.
+func (h *Host) closeListeners() {
+	for _, listener := range []net.Listener{h.readyListener, h.seedListener, h.metricsListener} {
+		if listener != nil {
+			_ = listener.Close()
+		}
+	}
+}
+
 // Run serves until ctx is cancelled, then drains: it keeps forwarding until routers
 // no longer send it packets or the drain's time limit is reached. Cancelling force
 // stops it at once.
--- a/internal/edge/reload.go
+++ b/internal/edge/reload.go
@@ -33,7 +33,8 @@
 }
 
 // checkRestartRequired returns a RestartRequiredError for the first changed setting
-// that requires a restart, or nil.
+// that requires a restart, or nil. store.seeds is not among them, because a host asks
+// its seeds only when it starts.
 func checkRestartRequired(before, after *settings.Edge) error {
 	fixedSettings := []struct {
 		key       string
@@ -41,12 +42,17 @@
 	}{
 		{"host.id", before.Host.ID == after.Host.ID},
 		{"host.data_centre", before.Host.DataCentre == after.Host.DataCentre},
+		{"host.region", before.Host.Region == after.Host.Region},
 		{"listen.packet", before.Listen.Packet == after.Listen.Packet},
 		{"listen.peer", before.Listen.Peer == after.Listen.Peer},
 		{"listen.ready", before.Listen.Ready == after.Listen.Ready},
 		{"listen.seed", before.Listen.Seed == after.Listen.Seed},
 		{"listen.metrics", before.Listen.Metrics == after.Listen.Metrics},
+		{"store.history", before.Store.History == after.Store.History},
+		{"limits.bandwidth", before.Limits.Bandwidth == after.Limits.Bandwidth},
 		{"limits.flows", before.Limits.Flows == after.Limits.Flows},
+		{"limits.memory", before.Limits.Memory == after.Limits.Memory},
+		{"log.level", before.Log.Level == after.Log.Level},
 	}
 	for _, setting := range fixedSettings {
 		if !setting.unchanged {
--- a/internal/edge/reloader_test.go
+++ b/internal/edge/reloader_test.go
@@ -104,6 +104,7 @@
 	}{
 		{"id = quay-1", "id = quay-2", "host.id"},
 		{"packet = 127.0.0.1:7001", "packet = 127.0.0.1:7999", "listen.packet"},
+		{"data_centre = quay", "data_centre = quay\nregion = north", "host.region"},
 		{"address = 127.0.0.1:7004", "address = 127.0.0.1:7999", ""},
 		{"time_limit = 6s", "time_limit = 9s", ""},
 	}
