soak: reserve ports, await first checks, close both sides of the proxy

- failedChecks was 0 before the first readiness check, so awaitReady could pass before a host had answered one.
- A signal between the exit of a process and its restart left stopRequested set, so an unexpected exit of the next process was excused.
- A restart that began while the run shut down could start a process that nothing stopped. start now checks shuttingDown under the lock that tearDown takes.
- The proxy kept its connection to the store open after the host had closed its side, and relayed connections that were accepted just before it began to reset them.

--- a/internal/soak/host.go
+++ b/internal/soak/host.go
@@ -72,23 +72,26 @@
 	return nil
 }
 
-// start starts the process. Whenever the process exits, handleExit starts it again.
+// start starts the process, unless the run is shutting down. Whenever the process exits,
+// handleExit starts it again.
 func (h *hostProcess) start() error {
 	cmd := exec.Command(h.run.options.Daemon, "edge", "--settings", h.settingsFile)
 	cmd.Stdout, cmd.Stderr = h.run.log, h.run.log
+	// tearDown sets shuttingDown before it locks mu, so that it sees each process started.
 	h.mu.Lock()
-	badSettings := h.badSettings
-	h.mu.Unlock()
+	defer h.mu.Unlock()
+	if h.run.shuttingDown.Load() {
+		return nil
+	}
 	if err := cmd.Start(); err != nil {
 		return fmt.Errorf("start %s: %w", h.name, err)
 	}
-	h.mu.Lock()
 	h.cmd = cmd
 	h.startedAt = time.Now()
-	h.startedWithBadSettings = badSettings
-	h.exited = make(chan struct{})
-	exited := h.exited
-	h.mu.Unlock()
+	h.startedWithBadSettings = h.badSettings
+	h.stopRequested = false // of a signal that found no process
+	exited := make(chan struct{})
+	h.exited = exited
 	go func() {
 		err := cmd.Wait()
 		h.handleExit(err)
@@ -112,9 +115,6 @@
 		return
 	}
 	time.AfterFunc(restartDelay, func() {
-		if h.run.shuttingDown.Load() {
-			return
-		}
 		if err := h.start(); err != nil {
 			h.run.recorder.RecordViolation("%v", err)
 		}
--- a/internal/soak/proxy.go
+++ b/internal/soak/proxy.go
@@ -109,13 +109,21 @@
 	defer target.Close()
 	p.mu.Lock()
 	p.conns[conn] = struct{}{}
+	reset := p.mode == modeReset // since the connection was accepted
 	p.mu.Unlock()
 	defer func() {
 		p.mu.Lock()
 		delete(p.conns, conn)
 		p.mu.Unlock()
 	}()
-	go p.relay(target, conn, false)
+	if reset {
+		closeWithReset(conn)
+		return
+	}
+	go func() {
+		p.relay(target, conn, false)
+		_ = target.Close() // ends the relay from the store, too
+	}()
 	p.relay(conn, target, true)
 }
 
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -36,8 +36,8 @@
 	counters      counters
 	hosts         []*hostProcess
 	callers       []*caller
-	// basePort is the port for packets. Hosts and upstreams also use the three ports
-	// after it.
+	// basePort is the port for packets, the first of portsPerRun ports that hosts and
+	// upstreams use.
 	basePort uint16
 
 	// shuttingDown is set once processes are to exit, faultsOver once the final check
@@ -81,8 +81,13 @@
 		return nil, err
 	}
 	defer store.Close()
+	ports, basePort, err := reservePorts()
+	if err != nil {
+		return nil, err
+	}
+	defer ports.Close()
 	r := &soakRun{
-		options: options, random: rand.New(rand.NewPCG(options.Seed, 7)), restoreRandom: rand.New(rand.NewPCG(options.Seed, 11)), dir: dir, log: &syncWriter{w: options.Log},
+		options: options, random: rand.New(rand.NewPCG(options.Seed, 7)), restoreRandom: rand.New(rand.NewPCG(options.Seed, 11)), dir: dir, basePort: basePort, log: &syncWriter{w: options.Log},
 		readyPath: platform.ReadyPath, store: store, recorder: standin.NewRecorder(), faultCounts: make(map[string]int),
 	}
 	ctx, cancel := context.WithCancel(ctx)
@@ -98,10 +103,6 @@
 
 // setUp publishes the configuration and starts upstreams, hosts and callers.
 func (r *soakRun) setUp(ctx context.Context) error {
-	var err error
-	if r.basePort, err = freePort(); err != nil {
-		return err
-	}
 	for i, service := range services {
 		r.routes = append(r.routes,
 			standin.Route{Address: virtualAddress(i, 1), Service: service, Repeatable: true, Priority: 2, Timeout: int(requestTimeout.Milliseconds())},
@@ -132,6 +133,7 @@
 			address := netip.AddrFrom4([4]byte{127, 10, byte(dc), byte(i + 1)})
 			h := &hostProcess{
 				run: r, name: fmt.Sprintf("%s-%d", dataCentreName(dc), i), dataCentre: dataCentreName(dc),
+				failedChecks: maxFailedChecks, withdrawn: true, // until the first check succeeds
 				packetAddress: netip.AddrPortFrom(address, r.basePort), readyAddress: netip.AddrPortFrom(address, r.basePort+1), peerAddress: netip.AddrPortFrom(address, r.basePort+2),
 			}
 			h.settingsFile = settingsPath(r.dir, h.name)
@@ -182,18 +184,35 @@
 	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{198, 18, byte(service), byte(route)}), 443)
 }
 
-// freePort returns a port that is probably free, as are the ports after it. The limit
-// leaves room for these.
-func freePort() (uint16, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return 0, fmt.Errorf("find a free port: %w", err)
-	}
-	port := listener.Addr().(*net.TCPAddr).Port
-	if err := listener.Close(); err != nil {
-		return 0, fmt.Errorf("find a free port: %w", err)
+// portsPerRun is the number of ports of a run, from basePort on.
+const portsPerRun = 4
+
+// reservePorts returns the first of portsPerRun ports that no other run uses until the
+// listener is closed. All runs bind the same loopback addresses, so their ports must not
+// overlap. The listener is on an address that runs do not bind.
+func reservePorts() (net.Listener, uint16, error) {
+	const attempts = 100
+	var lastErr error
+	for range attempts {
+		probe, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return nil, 0, fmt.Errorf("find free ports: %w", err)
+		}
+		port := uint16(probe.Addr().(*net.TCPAddr).Port)
+		first := port - port%portsPerRun
+		if first == port {
+			return probe, port, nil
+		}
+		if err := probe.Close(); err != nil {
+			return nil, 0, fmt.Errorf("find free ports: %w", err)
+		}
+		listener, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", first))
+		if err == nil {
+			return listener, first, nil
+		}
+		lastErr = err
 	}
-	return uint16(min(port, 60000)), nil
+	return nil, 0, fmt.Errorf("find free ports: %w", lastErr)
 }
 
 // publish writes the configuration to the store, with a higher version.
