--- a/internal/edge/reload.go
+++ b/internal/edge/reload.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 
 	"github.com/oatlatch/oatlatch/internal/catalog"
 	"github.com/oatlatch/oatlatch/internal/feed"
@@ -25,6 +26,9 @@
 	if err := checkRestartRequired(h.settings.Load(), &s); err != nil {
 		return err
 	}
+	for _, key := range changedStartSettings(h.settings.Load(), &s) {
+		h.options.Logger.Warn().Str("setting", key).Msg("setting_needs_restart")
+	}
 	h.settings.Store(&s)
 	h.feed.SetTiming(feed.NewTiming(s.Store.ShortestApplyWithin()))
 	h.feed.SetRetention(catalog.RetentionOf(s.Limits.FlowAge))
@@ -33,8 +37,31 @@
 	return nil
 }
 
+// changedStartSettings returns the changed settings that are read only when a host starts.
+// The others are applied all the same, because the platform may change them together.
+func changedStartSettings(before, after *settings.Edge) []string {
+	startSettings := []struct {
+		key       string
+		unchanged bool
+	}{
+		{"host.region", before.Host.Region == after.Host.Region},
+		{"store.history", before.Store.History == after.Store.History},
+		{"store.seeds", slices.Equal(before.Store.Seeds, after.Store.Seeds)},
+		{"limits.bandwidth", before.Limits.Bandwidth == after.Limits.Bandwidth},
+		{"limits.memory", before.Limits.Memory == after.Limits.Memory},
+		{"log.level", before.Log.Level == after.Log.Level},
+	}
+	var changed []string
+	for _, setting := range startSettings {
+		if !setting.unchanged {
+			changed = append(changed, setting.key)
+		}
+	}
+	return changed
+}
+
 // checkRestartRequired returns a RestartRequiredError for the first changed setting
-// that requires a restart, or nil.
+// without which the others cannot be applied, or nil.
 func checkRestartRequired(before, after *settings.Edge) error {
 	fixedSettings := []struct {
 		key       string
