experiment: patterns evacuate, evacuate-overloaded and cold-zone-return

Cause: the model had no evacuation, so a host that sends new flows to an evacuated data centre failed no test of it.

Change: the model has evacuations in the hosts' views and counts the SYNs that reach a data centre after hosts know. TestNoSYNReachesAnEvacuatedDataCentre wants none in the three patterns, and at least 20 with hosts that do not read the request, so that the bound is not empty.

--- a/internal/experiment/options.go
+++ b/internal/experiment/options.go
@@ -46,6 +46,8 @@
 	// Outage is how long the pattern power-loss stops all hosts. They start within
 	// StartSpread after it, each of which has its first view after StartDelay.
 	Outage, StartSpread, StartDelay time.Duration
+	// ignoreEvacuations keeps evacuations from the hosts.
+	ignoreEvacuations bool
 	// Duration is how long callers send requests, in virtual time.
 	Duration time.Duration
 }
--- a/internal/experiment/pattern.go
+++ b/internal/experiment/pattern.go
@@ -61,6 +61,9 @@
 		{"lossy-host", "one host loses a third of its packets to upstreams", lossyHost},
 		{"slow-upstreams", "two upstreams are four times slower", slowUpstreams},
 		{"mass-restart", "all hosts are down for a second", massRestart},
+		{"evacuate", "one data centre is evacuated for six seconds", evacuateOne},
+		{"evacuate-overloaded", "the same, after half of the others' upstreams have been stopped", evacuateOverloaded},
+		{"cold-zone-return", "one data centre is evacuated, all of its upstreams are replaced, and it returns cold", coldZoneReturn},
 		{"power-loss", "all hosts are down for --outage, start one after the other within --start-spread, and know nothing for --start-delay", powerLoss},
 	}
 }
@@ -91,6 +94,7 @@
 	p.schedule(sim)
 	sim.runEvents()
 	result := sim.recorder.summarize(p.Name, policy.String())
+	result.LateSYNs = sim.lateSYNs
 	result.Balance = sim.balance.summarize(sim)
 	for _, h := range sim.hosts {
 		result.Ejections += h.ejections
--- a/internal/experiment/simulation.go
+++ b/internal/experiment/simulation.go
@@ -48,6 +48,10 @@
 	// isolated holds the indexes of the data centres that are cut off from the
 	// others.
 	isolated map[int]bool
+	// evacuated holds the indexes of the evacuated data centres, with the time of the
+	// request. lateSYNs is the number of SYNs that reached them too late.
+	evacuated map[int]time.Time
+	lateSYNs  int
 	// flowsOpened is the number of flows opened so far. The source address of a
 	// flow is derived from it.
 	flowsOpened int
@@ -89,7 +93,7 @@
 func newSimulation(options Options, policy echo.Policy) *simulation {
 	sim := &simulation{
 		options: options, policy: policy, random: rand.New(rand.NewPCG(options.Seed, 1)), now: runStart,
-		byID: make(map[catalog.UpstreamID]*upstreamNode), isolated: make(map[int]bool), loadFactor: 1, recorder: newRecorder(options.Objective),
+		byID: make(map[catalog.UpstreamID]*upstreamNode), isolated: make(map[int]bool), evacuated: make(map[int]time.Time), loadFactor: 1, recorder: newRecorder(options.Objective),
 	}
 	for dc := range options.DataCentres {
 		for range options.UpstreamsPerDataCentre {
@@ -183,6 +187,7 @@
 			view.Upstreams = append(view.Upstreams, u.catalogEntry(sim.now))
 		}
 	}
+	view.Evacuations = sim.evacuations()
 	h.engine.SetView(sim.now, view)
 	held := h.held
 	h.held = nil
--- a/internal/experiment/upstream.go
+++ b/internal/experiment/upstream.go
@@ -88,6 +88,7 @@
 	if u.silent {
 		return
 	}
+	u.sim.countLateSYN(u)
 	u.sim.after(callerDelay, func() { f.handleSYNACK(u) })
 }
 
