soak: planned operation that evacuates a data centre and takes it back

Cause: no run with processes had an evacuation beside stops, drains, changed configurations and restores.

A restore of the store writes the request, or its absence, again. A failed run now prints why flows were reset, upstreams suspected and hosts stalled.

--- a/internal/flow/echo/region_test.go
+++ b/internal/flow/echo/region_test.go
@@ -38,8 +38,8 @@
 				h.newFlow(orderAddress).sendSYN()
 			}
 		},
-		"suspected":      func(h *harness) { h.engine.suspect(h.now, h.engine.upstreams[2], Retransmissions) },
-		"ejected":        func(h *harness) { h.engine.eject(h.now, h.engine.upstreams[2]) },
+		"suspected": func(h *harness) { h.engine.suspect(h.now, h.engine.upstreams[2], Retransmissions) },
+		"ejected":   func(h *harness) { h.engine.eject(h.now, h.engine.upstreams[2]) },
 		"replaced": func(h *harness) {
 			h.upstreams = append(h.upstreams, newEntry(4, remoteDC))
 			h.updateUpstream(2, func(e *catalog.Entry) { e.Draining = true })
--- a/internal/soak/restore.go
+++ b/internal/soak/restore.go
@@ -43,14 +43,17 @@
 	})
 }
 
-// writeAgain writes the configuration and the registrations that the store lacks, and
-// removes those of upstreams that have left.
+// writeAgain writes the configuration, the evacuation and the registrations that the store
+// lacks, and removes those of upstreams that have left.
 func (r *soakRun) writeAgain() error {
 	r.registryMu.Lock()
 	defer r.registryMu.Unlock()
 	if err := r.store.Put(standin.ConfigurationKey, standin.Configuration(r.version.Load(), r.routes, services)); err != nil {
 		return err
 	}
+	if err := r.writeEvacuation(); err != nil {
+		return err
+	}
 	for _, u := range r.upstreams {
 		if u.left {
 			r.store.Remove(u.standin.StoreKey())
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -28,14 +28,16 @@
 	random  *rand.Rand
 	// restoreRandom draws the restores of the store, apart from all other faults.
 	restoreRandom *rand.Rand
-	dir           string
-	log           *syncWriter
-	readyPath     string
-	store         *standin.Store
-	recorder      *standin.Recorder
-	counters      counters
-	hosts         []*hostProcess
-	callers       []*caller
+	// evacuationRandom draws the evacuations, apart from all faults.
+	evacuationRandom *rand.Rand
+	dir              string
+	log              *syncWriter
+	readyPath        string
+	store            *standin.Store
+	recorder         *standin.Recorder
+	counters         counters
+	hosts            []*hostProcess
+	callers          []*caller
 	// basePort is the port for packets. Hosts and upstreams also use the three ports
 	// after it.
 	basePort uint16
@@ -48,9 +50,11 @@
 
 	// copied is the copy from which the store is restored next; nil if there is none.
 	copied *storeCopy
-	// registryMu is held while the store, and the routes and upstreams that belong in it,
-	// change together. A restore writes them again.
+	// registryMu is held while the store, and the routes, upstreams and evacuation that
+	// belong in it, change together. A restore writes them again.
 	registryMu sync.Mutex
+	// evacuated is the name of the evacuated data centre; empty for none.
+	evacuated string
 
 	// mu guards faultCounts, lastStoreFaultEnd and activeStoreFaults.
 	mu sync.Mutex
@@ -82,7 +86,8 @@
 	}
 	defer store.Close()
 	r := &soakRun{
-		options: options, random: rand.New(rand.NewPCG(options.Seed, 7)), restoreRandom: rand.New(rand.NewPCG(options.Seed, 11)), dir: dir, log: &syncWriter{w: options.Log},
+		options: options, random: rand.New(rand.NewPCG(options.Seed, 7)), restoreRandom: rand.New(rand.NewPCG(options.Seed, 11)),
+		evacuationRandom: rand.New(rand.NewPCG(options.Seed, 13)), dir: dir, log: &syncWriter{w: options.Log},
 		readyPath: platform.ReadyPath, store: store, recorder: standin.NewRecorder(), faultCounts: make(map[string]int),
 	}
 	ctx, cancel := context.WithCancel(ctx)
@@ -263,6 +268,7 @@
 			kinds = append(slices.Clone(plannedOperations), externalFaults...)
 			r.restoreStoreAtRandom()
 		}
+		r.evacuateAtRandom()
 		r.inject(kinds)
 	}
 	r.pending.Wait()
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -6,6 +6,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strings"
 	"testing"
 	"time"
 )
@@ -57,4 +58,22 @@
 	for _, violation := range report.Violations {
 		t.Error(violation)
 	}
+	if t.Failed() {
+		logLines(t, log.Name())
+	}
+}
+
+// logLines prints the hosts' lines that tell why flows were reset.
+func logLines(t *testing.T, path string) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		t.Error(err)
+	}
+	for line := range strings.Lines(string(text)) {
+		for _, event := range []string{"flow_reset", "upstream_suspected", "host_stalled"} {
+			if strings.Contains(line, "event="+event+" ") {
+				t.Log(strings.TrimSpace(line))
+			}
+		}
+	}
 }
