echo: admit waiting flows in turn by route and caller

Cause: flows that wait for a slot were admitted by priority and deadline, and a full queue refused whoever came last. A caller with a hundred flows took a hundred times the share of one with a single flow.

Change: within a priority, routes and then callers are admitted in turn (start-time fair queueing), the flows of one caller by deadline. Flows that cannot be served by their deadline come after those that can. One admission in sixteen goes to a lower priority while flows of several priorities wait. When the queue is full, the newest flow of the caller with the most flows in the lowest priority gives way and is reset at once (overloaded, caller_waiting). A queue keeps at most 512 shares of callers, for a second after it was last used. The mechanism fair-queueing can be switched off.

--- a/internal/flow/echo/admit.go
+++ b/internal/flow/echo/admit.go
@@ -56,19 +56,59 @@
 	return defaultRequestTimeout
 }
 
-// enqueueFlow adds a new flow to the pool's queue. It returns false if the queue is full.
-func (e *Engine) enqueueFlow(now time.Time, p *pool, r *route, s *Segment) bool {
+// displacedFlow is a flow that gave way to another while the queue was full.
+type displacedFlow struct {
+	flow *waitingFlow
+	// callerWaiting is the number of its caller's flows that waited, itself included.
+	callerWaiting uint32
+}
+
+// enqueueFlow lets a new flow wait for the pool, or refuses it if the queue is full and no
+// other flow gives way. The upstream was chosen for the flow; rec is its record or nil.
+func (e *Engine) enqueueFlow(now time.Time, p *pool, r *route, s *Segment, u *upstream, rec *flowRecord) Decision {
 	f := &waitingFlow{syn: *s, route: r, arrived: now, deadline: now.Add(r.requestTimeout() - timeSinceFirstSYN(s.Ack))}
-	if !p.queue.insert(f) {
-		return false
+	if !e.insertWaiting(p, f) {
+		d := e.withDetail(now, Decision{Verdict: Reset, Reason: Overloaded}, r, u, rec)
+		d.Detail.CallerWaiting = uint32(p.queue.callerWaiting(f) + 1)
+		return d
 	}
 	if !slices.Contains(e.queuedPools, p) {
 		e.queuedPools = append(e.queuedPools, p)
 	}
 	e.waiting.Add(1)
+	return Decision{Verdict: Hold, Reason: Queued}
+}
+
+// insertWaiting adds the flow to the pool's queue. It returns false if the flow must be refused.
+func (e *Engine) insertWaiting(p *pool, f *waitingFlow) bool {
+	if e.options.Without.Has(FairQueueing) {
+		return p.queue.insert(f)
+	}
+	displaced := p.queue.insertFair(f)
+	switch displaced {
+	case f:
+		return false
+	case nil:
+	default:
+		e.displaced = append(e.displaced, displacedFlow{flow: displaced, callerWaiting: uint32(p.queue.callerWaiting(displaced) + 1)})
+		e.pendingRefusals.Add(1)
+		e.waiting.Add(-1)
+	}
+	if !slices.Contains(e.sharingPools, p) {
+		e.sharingPools = append(e.sharingPools, p)
+	}
 	return true
 }
 
+// forgetShares drops the shares of callers and routes that no flow has needed for shareMemory.
+func (e *Engine) forgetShares(now time.Time) {
+	e.sharingPools = slices.DeleteFunc(e.sharingPools, func(p *pool) bool { return p.queue.forget(now) })
+}
+
+// PendingRefusals returns the number of flows that have given way to others and that
+// NextAdmitted returns next.
+func (e *Engine) PendingRefusals() int { return int(e.pendingRefusals.Load()) }
+
 // WaitingFlows returns the number of new flows that wait for a slot.
 func (e *Engine) WaitingFlows() int { return int(e.waiting.Load()) }
 
@@ -77,6 +117,9 @@
 func (e *Engine) NextAdmitted(now time.Time) (syn Segment, d Decision, ok bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	if len(e.displaced) > 0 {
+		return e.nextDisplaced(now)
+	}
 	for i, p := range e.queuedPools {
 		f, d := e.nextAdmittedTo(now, p)
 		if f == nil {
@@ -93,10 +136,37 @@
 	return Segment{}, Decision{}, false
 }
 
+// nextDisplaced returns the decision on the flow that gave way first.
+func (e *Engine) nextDisplaced(now time.Time) (syn Segment, d Decision, ok bool) {
+	f := e.displaced[0].flow
+	d = e.withDetail(now, Decision{Verdict: Reset, Reason: Overloaded}, f.route, nil, nil)
+	d.Detail.Waited, d.Detail.CallerWaiting = now.Sub(f.arrived), e.displaced[0].callerWaiting
+	e.displaced = slices.Delete(e.displaced, 0, 1)
+	e.pendingRefusals.Add(-1)
+	return f.syn, d, true
+}
+
 // nextAdmittedTo returns a flow that waits for the pool and the decision on it, or nil if
 // all flows must wait on.
 func (e *Engine) nextAdmittedTo(now time.Time, p *pool) (*waitingFlow, Decision) {
-	f, waitedEnough := p.queue.first(now)
+	if e.options.Without.Has(FairQueueing) {
+		f, waitedEnough := p.queue.first(now)
+		return e.admitWaiting(now, f, waitedEnough)
+	}
+	f, waitedEnough := p.queue.firstFair(now, p.processingTime)
+	admitted, d := e.admitWaiting(now, f, waitedEnough)
+	if f != nil && admitted == nil {
+		admitted, d = e.admitWaiting(now, p.queue.insteadOf(f, now, p.processingTime), false)
+	}
+	if admitted != nil && d.Verdict == Forward {
+		p.queue.charge(now, admitted, waitedEnough, p.processingTime)
+	}
+	return admitted, d
+}
+
+// admitWaiting returns the waiting flow and the decision on it. It returns
+// nil if there is no flow or it must wait on.
+func (e *Engine) admitWaiting(now time.Time, f *waitingFlow, waitedEnough bool) (*waitingFlow, Decision) {
 	if f == nil {
 		return nil, Decision{}
 	}
--- a/internal/flow/echo/benchmark_test.go
+++ b/internal/flow/echo/benchmark_test.go
@@ -146,3 +146,28 @@
 		})
 	}
 }
+
+// BenchmarkFullAdmissionQueue measures a look for a waiting flow that can be admitted, while
+// the queue is full and none can. A host takes one for each packet.
+func BenchmarkFullAdmissionQueue(b *testing.B) {
+	e, _ := newEngineWithFlows(20, 1)
+	view := catalog.View{Configuration: &catalog.Configuration{Version: 2, Routes: []catalog.Route{
+		{Name: "watch", Address: watchAddress, Shares: []catalog.Share{{Service: deskService, Weight: 1}}, Priority: 1, Objective: time.Millisecond},
+		{Name: "order", Address: orderAddress},
+	}}}
+	for _, u := range e.upstreams {
+		u.outstanding = 10
+		view.Upstreams = append(view.Upstreams, u.Entry)
+	}
+	e.SetView(startTime, view)
+	e.pools[deskService].processingTime = 100 * time.Millisecond
+	for i := range maxWaitingFlows {
+		caller := netip.AddrPortFrom(netip.AddrFrom4([4]byte{101, 0, 0, byte(i / 2)}), uint16(i))
+		if d := e.Decide(startTime, &Segment{Caller: caller, VirtualAddress: watchAddress, SYN: true}); d.Reason != Queued {
+			b.Fatalf("got %v", d.Reason)
+		}
+	}
+	for b.Loop() {
+		e.NextAdmitted(startTime)
+	}
+}
--- a/internal/flow/echo/detail.go
+++ b/internal/flow/echo/detail.go
@@ -40,6 +40,10 @@
 	Waited time.Duration
 	// PriorSYNs is the number of earlier copies of a retransmitted SYN.
 	PriorSYNs uint32
+	// CallerWaiting is the number of the caller's flows that waited, this one included, when
+	// the flow was refused because too many waited. It is zero otherwise. Its type keeps the
+	// Detail, which is copied for each packet, from growing.
+	CallerWaiting uint32
 }
 
 // withDetail returns the decision with its Detail set.
--- a/internal/flow/echo/engine.go
+++ b/internal/flow/echo/engine.go
@@ -87,6 +87,11 @@
 	lastPacket time.Time
 	// ignoreRetransmissionsUntil is the end of pauseGrace after the last pause.
 	ignoreRetransmissionsUntil time.Time
+	// displaced are the flows that have given way to others and must be refused;
+	// pendingRefusals is their number. sharingPools are the pools whose queues keep shares.
+	displaced       []displacedFlow
+	pendingRefusals atomic.Int64
+	sharingPools    []*pool
 }
 
 // New returns an engine. It holds all packets until SetView has been called with a
@@ -169,6 +174,7 @@
 	e.lastSweep = now
 	e.expireReports(now)
 	e.reportReturned(now)
+	e.forgetShares(now)
 	for key, rec := range e.records {
 		idle := now.Sub(rec.lastSeen)
 		switch {
--- a/internal/flow/echo/evacuation_random_test.go
+++ b/internal/flow/echo/evacuation_random_test.go
@@ -100,7 +100,7 @@
 				h.engine.eject(h.now, u)
 			case "wait":
 				syn := Segment{SYN: true, Caller: h.newFlow(address).caller, VirtualAddress: address}
-				h.engine.enqueueFlow(h.now, h.engine.pools[deskService], h.engine.routes[address], &syn)
+				h.engine.enqueueFlow(h.now, h.engine.pools[deskService], h.engine.routes[address], &syn, u, nil)
 			default:
 				if _, d, ok := h.engine.NextAdmitted(h.now); ok {
 					checkSYN(d)
--- a/internal/flow/echo/evacuation_test.go
+++ b/internal/flow/echo/evacuation_test.go
@@ -145,7 +145,7 @@
 	r := h.engine.routes[watchAddress]
 	for i := range 2 {
 		syn := Segment{SYN: true, Caller: h.newFlow(watchAddress).caller, VirtualAddress: watchAddress, Seq: uint32(i)}
-		h.engine.enqueueFlow(h.now, h.engine.pools[deskService], r, &syn)
+		h.engine.enqueueFlow(h.now, h.engine.pools[deskService], r, &syn, nil, nil)
 	}
 	h.evacuate(localDC)
 	_, d, ok := h.engine.NextAdmitted(h.now)
--- a/internal/flow/echo/mechanism.go
+++ b/internal/flow/echo/mechanism.go
@@ -45,6 +45,8 @@
 	IdleReset
 	// SpeedWeight counts recent requests by their response times.
 	SpeedWeight
+	// FairQueueing admits waiting flows in turn by route and caller.
+	FairQueueing
 
 	mechanismCount
 )
@@ -54,7 +56,7 @@
 	RemotePenalty: "remote-penalty", Suspicion: "suspicion", DataCentreSuspicion: "data-centre-suspicion", HoldDown: "hold-down",
 	UnreachableReset: "unreachable-reset", PauseGrace: "pause-grace", FailedCost: "failed-cost", Ejection: "ejection",
 	OverdueRequests: "overdue-requests", SharedEvidence: "shared-evidence", RecentRequests: "recent-requests", IdleReset: "idle-reset",
-	SpeedWeight: "speed-weight",
+	SpeedWeight: "speed-weight", FairQueueing: "fair-queueing",
 }
 
 // String returns the mechanism's name.
--- a/internal/flow/echo/syn.go
+++ b/internal/flow/echo/syn.go
@@ -25,10 +25,7 @@
 	}
 	switch e.admissionOf(now, p, r, u, s) {
 	case enqueue:
-		if e.enqueueFlow(now, p, r, s) {
-			return Decision{Verdict: Hold, Reason: Queued}
-		}
-		fallthrough
+		return e.enqueueFlow(now, p, r, s, u, nil)
 	case refuse:
 		return e.withDetail(now, Decision{Verdict: Reset, Reason: Overloaded}, r, u, nil)
 	default:
@@ -79,9 +76,12 @@
 		return again
 	case other == nil:
 		return e.withDetail(now, Decision{Verdict: Reset, Reason: e.refusalReason(r)}, r, u, rec)
-	case admitted == enqueue && e.enqueueFlow(now, p, r, s):
-		e.removeRecord(flowKey{caller: s.Caller, address: s.VirtualAddress}, rec)
-		return Decision{Verdict: Hold, Reason: Queued}
+	case admitted == enqueue:
+		d := e.enqueueFlow(now, p, r, s, u, rec)
+		if d.Verdict == Hold {
+			e.removeRecord(flowKey{caller: s.Caller, address: s.VirtualAddress}, rec)
+		}
+		return d
 	default:
 		return e.withDetail(now, Decision{Verdict: Reset, Reason: Overloaded}, r, u, rec)
 	}
--- a/internal/forward/echo_forwarder.go
+++ b/internal/forward/echo_forwarder.go
@@ -128,6 +128,9 @@
 		f.holdPacket(now, views, &w.segment, datagram)
 		if d.Reason == echo.Queued {
 			f.wakeAdmission()
+			if f.options.Engine.PendingRefusals() > 0 {
+				f.admitWaiting()
+			}
 		}
 		return
 	}
--- a/internal/forward/echo_log.go
+++ b/internal/forward/echo_log.go
@@ -55,6 +55,9 @@
 	if detail.Waited > 0 {
 		line = line.Dur("waited_ms", detail.Waited)
 	}
+	if detail.CallerWaiting > 0 {
+		line = line.Uint32("caller_waiting", detail.CallerWaiting)
+	}
 	if d.Reason == echo.OpenedElsewhere {
 		line = line.Stringer("to", d.Address)
 	}
