--- a/internal/flow/echo/mechanism.go
+++ b/internal/flow/echo/mechanism.go
@@ -47,6 +47,8 @@
 	SpeedWeight
 	// WarmupBudget limits the opening packets to upstreams that warm up.
 	WarmupBudget
+	// FairQueueing admits waiting flows in turn by route and caller.
+	FairQueueing
 
 	mechanismCount
 )
@@ -56,7 +58,7 @@
 	RemotePenalty: "remote-penalty", Suspicion: "suspicion", DataCentreSuspicion: "data-centre-suspicion", HoldDown: "hold-down",
 	UnreachableReset: "unreachable-reset", PauseGrace: "pause-grace", FailedCost: "failed-cost", Ejection: "ejection",
 	OverdueRequests: "overdue-requests", SharedEvidence: "shared-evidence", RecentRequests: "recent-requests", IdleReset: "idle-reset",
-	SpeedWeight: "speed-weight", WarmupBudget: "warmup-budget",
+	SpeedWeight: "speed-weight", WarmupBudget: "warmup-budget", FairQueueing: "fair-queueing",
 }
 
 // String returns the mechanism's name.
--- a/internal/flow/echo/region_test.go
+++ b/internal/flow/echo/region_test.go
@@ -107,7 +107,7 @@
 			h.advance(time.Millisecond)
 			open.open() // the upstream answers others, so a copy of the SYN would go there again
 			syn := Segment{SYN: true, Caller: waiting.caller, VirtualAddress: orderAddress, Seq: 1000}
-			h.engine.enqueueFlow(h.now, h.engine.pools[deskService], h.engine.routes[orderAddress], &syn)
+			h.engine.enqueueFlow(h.now, h.engine.pools[deskService], h.engine.routes[orderAddress], &syn, nil, nil)
 			change(h)
 			h.expectDecision(open.sendRequest(), Forward, Known)
 			d := opening.sendCopy(1)
--- a/internal/flow/echo/syn.go
+++ b/internal/flow/echo/syn.go
@@ -21,8 +21,8 @@
 	}
 	admitted := e.admissionOf(now, p, r, u, s)
 	if admitted == enqueue {
-		if e.enqueueFlow(now, p, r, s) {
-			return Decision{Verdict: Hold, Reason: Queued}
+		if d := e.enqueueFlow(now, p, r, s, u, nil); d.Verdict == Hold || refuse.refuses(s) {
+			return d
 		}
 		admitted = refuse
 	}
@@ -94,9 +94,12 @@
 			d.Verdict = Drop
 		}
 		return e.withDetail(now, d, r, u, rec)
-	case admitted == enqueue && e.enqueueFlow(now, p, r, s):
-		e.removeRecord(flowKey{caller: s.Caller, address: s.VirtualAddress}, rec)
-		return Decision{Verdict: Hold, Reason: Queued}
+	case admitted == enqueue:
+		d := e.enqueueFlow(now, p, r, s, u, rec)
+		if d.Verdict == Hold {
+			e.removeRecord(flowKey{caller: s.Caller, address: s.VirtualAddress}, rec)
+		}
+		return d
 	default:
 		return e.withDetail(now, Decision{Verdict: Reset, Reason: Overloaded}, r, u, rec)
 	}
--- a/internal/flow/echo/syn_copy_test.go
+++ b/internal/flow/echo/syn_copy_test.go
@@ -112,7 +112,7 @@
 	h := newHarness(t, newEntry(1, localDC))
 	f := h.newFlow(watchAddress)
 	syn := Segment{SYN: true, Caller: f.caller, VirtualAddress: f.address, Seq: f.seq}
-	h.engine.enqueueFlow(h.now, h.engine.pools[deskService], h.engine.routes[watchAddress], &syn)
+	h.engine.enqueueFlow(h.now, h.engine.pools[deskService], h.engine.routes[watchAddress], &syn, nil, nil)
 	f.token, f.seq, f.ack = tokenOf(1), f.seq+1, 5000
 	h.expectDecision(f.send(Segment{ACK: true}), Forward, Echoed)
 	h.evacuate(localDC)
