flow: ages never wrap, messages hold all upstreams, Explain follows records

- Ages were unsigned differences.
Packet workers read the clock on their own, so a record can be newer than the control step's now; its age wrapped to 136 years and collectRecords left it out, so that the new owner or backup never got it.
All ages now use seconds.since.
- A message had room for 512 upstreams and a service may have 4096.
A state reply of a larger service gave the receiver defaults without an upstream, and a drain notice left upstreams out.
A message needs at most one upstream for each record and slot, which is the new limit (1524, about 140 kB); drain notices are split.
- Explain named the default of an untracked slot although Decide follows a record, printed s for a record newer than the last step, and used records that Decide would remove.

Ruled out: a StateReply without Owners or Defaults; valid refuses it already.

--- a/internal/flow/decide.go
+++ b/internal/flow/decide.go
@@ -122,7 +122,7 @@
 // owner. It also relays a packet of a recorded flow at least every half idle
 // timeout, so that the owner keeps its record.
 func (d *decider) decideAsNonOwner() Decision {
-	if d.found && !d.first && d.now-d.record.ownerSeen <= d.table.idleTimeout/2 {
+	if d.found && !d.first && d.now.since(d.record.ownerSeen) <= d.table.idleTimeout/2 {
 		return d.forward(d.record.upstream)
 	}
 	if d.found {
--- a/internal/flow/explain.go
+++ b/internal/flow/explain.go
@@ -57,13 +57,18 @@
 	shard.mu.Lock()
 	r, found := shard.get(id)
 	shard.mu.Unlock()
+	if l := svc.loads.Load(); found && (r.service != svc.id || l != nil && l.gone(r.upstream)) {
+		found = false // Decide removes such a record
+	}
 	if found {
-		x.addStep("this host recorded upstream %s, last packet %d s ago", t.upstreamName(r.upstream), e.nowSeconds()-r.lastSeen)
+		x.addStep("this host recorded upstream %s, last packet %d s ago", t.upstreamName(r.upstream), e.nowSeconds().since(r.lastSeen))
 		x.Upstream = t.upstreamName(r.upstream)
 	}
 	switch {
+	case s.mode == untracked && found:
+		x.addStep("the slot is untracked: the flow goes to the recorded upstream")
 	case s.mode == untracked:
-		x.addStep("the slot is untracked: every flow goes to the default")
+		x.addStep("the slot is untracked: flows without a record go to the default")
 		x.Upstream = t.upstreamName(t.defaults[i])
 	case s.owner == selfRef:
 		x.addStep("the slot is tracked in term %d and this host owns it (%s)", s.term, s.phase)
--- a/internal/flow/message.go
+++ b/internal/flow/message.go
@@ -6,6 +6,7 @@
 	"github.com/oatlatch/oatlatch/internal/config"
 	"github.com/oatlatch/oatlatch/internal/host"
 	"github.com/oatlatch/oatlatch/internal/service"
+	"github.com/oatlatch/oatlatch/internal/slottable"
 )
 
 // Kind is the type of a message.
@@ -37,12 +38,12 @@
 	DrainNotice
 )
 
-// Limits on the lists of a message. Receivers discard messages that exceed them.
-// MaxUpstreams is greater than MaxRecords, so that a message always has room for the
-// upstreams of its records.
+// Limits on the lists of a message. Receivers discard messages that exceed them. A
+// message always has room for the upstreams of its records and of the defaults of all
+// slots, even if all are different.
 const (
 	MaxRecords   = 500
-	MaxUpstreams = 512
+	MaxUpstreams = MaxRecords + slottable.Slots
 )
 
 // Message is a message between entry hosts. Its size is bounded.
--- a/internal/flow/record.go
+++ b/internal/flow/record.go
@@ -11,6 +11,15 @@
 // seconds is a number of whole seconds: a time since the Unix epoch or a duration.
 type seconds uint32
 
+// since returns the time from then to now, or 0 if then is later: packet workers read the
+// clock on their own, so that a record may be newer than the caller's now.
+func (now seconds) since(then seconds) seconds {
+	if then > now {
+		return 0
+	}
+	return now - then
+}
+
 // record is what a host knows about one flow. Any record of a flow names its
 // actual upstream, whichever host holds it.
 type record struct {
--- a/internal/flow/release.go
+++ b/internal/flow/release.go
@@ -17,7 +17,7 @@
 		if s.mode != tracked || s.owner != selfRef || s.phase != active || t.perFlowBalancing || t.targets[i] == noUpstream {
 			continue
 		}
-		if now-svc.offTargetSeen[i] <= ownerIdleFactor*t.idleTimeout+1 {
+		if now.since(svc.offTargetSeen[i]) <= ownerIdleFactor*t.idleTimeout+1 {
 			continue
 		}
 		if byTerm[s.term] == nil {
--- a/internal/flow/statesync.go
+++ b/internal/flow/statesync.go
@@ -1,6 +1,8 @@
 package flow
 
 import (
+	"slices"
+
 	"github.com/oatlatch/oatlatch/internal/host"
 	"github.com/oatlatch/oatlatch/internal/service"
 	"github.com/oatlatch/oatlatch/internal/slottable"
@@ -197,14 +199,13 @@
 	var drained []Target
 	for _, u := range previous.Upstreams {
 		target := Target{u.Name, u.PacketAddress}
-		if u.State != service.AdminDraining && !accepting[target] && len(drained) < MaxUpstreams {
+		if u.State != service.AdminDraining && !accepting[target] {
 			drained = append(drained, target)
 		}
 	}
-	if len(drained) == 0 {
-		return
-	}
-	for _, ref := range e.peers() {
-		e.send(ref, Message{Kind: DrainNotice, Service: svc.id, Version: svc.version, Upstreams: drained})
+	for part := range slices.Chunk(drained, MaxUpstreams) {
+		for _, ref := range e.peers() {
+			e.send(ref, Message{Kind: DrainNotice, Service: svc.id, Version: svc.version, Upstreams: part})
+		}
 	}
 }
--- a/internal/flow/sweep.go
+++ b/internal/flow/sweep.go
@@ -74,10 +74,7 @@
 	t := svc.table.Load()
 	i := int(id & slotMask)
 	slot := t.slot(i)
-	idle := now - r.lastSeen
-	if r.lastSeen > now {
-		idle = 0
-	}
+	idle := now.since(r.lastSeen)
 	limit := t.idleTimeout
 	switch {
 	case slot.mode == tracked && slot.owner == selfRef:
--- a/internal/flow/transfer.go
+++ b/internal/flow/transfer.go
@@ -26,10 +26,10 @@
 		for j := range s.buckets {
 			b := &s.buckets[j]
 			slot := int(b.id & slotMask)
-			if !b.occupied || b.service != svc.id || !slots.Has(slot) || now-b.lastSeen > t.idleTimeout {
+			if !b.occupied || b.service != svc.id || !slots.Has(slot) || now.since(b.lastSeen) > t.idleTimeout {
 				continue
 			}
-			if t.derivable(slot, &b.record) && !(includeRecent && b.first && now-b.ownerSeen <= retransmitWindow) {
+			if t.derivable(slot, &b.record) && !(includeRecent && b.first && now.since(b.ownerSeen) <= retransmitWindow) {
 				continue
 			}
 			found = append(found, Record{ID: b.id, Upstream: uint16(b.upstream), TCP: b.tcp, First: b.first, Confirmed: b.confirmed})
