Close the platform client after Publish

Publish made a client for each call and never closed it, so that its idle connections stayed open for a minute. TestPublishClosesItsConnections failed before (1 opened, 0 closed) and passes with the change.

--- a/oatlatch.go
+++ b/oatlatch.go
@@ -61,6 +61,7 @@
 	if err != nil {
 		return Publication{}, err
 	}
+	defer client.Close()
 	return publishrunner.Publish(ctx, client, options, services)
 }
 
