corecheck: fail for a listed package without source files

A package that was renamed or removed passed the check unseen, because only the sum over all packages had to be above 0. With a package "nosuch" in the list the test passed before and fails now; without it, it passes.

--- a/internal/corecheck/corecheck.go
+++ b/internal/corecheck/corecheck.go
@@ -3,7 +3,7 @@
 package corecheck
 
 // CorePackages lists the directories under internal whose packages must be deterministic.
-// A directory that does not exist is skipped.
+// Each must exist and have a source file.
 var CorePackages = []string{
 	"admission", "catalog", "config", "evidence", "experiment", "flow/echo", "flow", "health", "host", "limit", "slottable",
 	"membership", "packet", "publish", "service", "snapshot", "ticket",
--- a/internal/corecheck/corecheck_test.go
+++ b/internal/corecheck/corecheck_test.go
@@ -25,13 +25,13 @@
 }
 
 func TestCorePackagesAreDeterministic(t *testing.T) {
-	checkedFiles := 0
 	for _, name := range CorePackages {
 		dir := filepath.Join("..", name)
 		files, err := filepath.Glob(filepath.Join(dir, "*.go"))
 		if err != nil {
 			t.Fatal(err)
 		}
+		checkedFiles := 0
 		for _, path := range files {
 			if strings.HasSuffix(path, "_test.go") {
 				continue
@@ -39,9 +39,9 @@
 			checkedFiles++
 			checkFile(t, path)
 		}
-	}
-	if checkedFiles == 0 {
-		t.Fatal("none of the CorePackages has a source file")
+		if checkedFiles == 0 { // it has been renamed or removed
+			t.Errorf("%s has no source file", dir)
+		}
 	}
 }
 
