experiment: serve the queue of an upstream that falls silent

An upstream that was silent when a request ended did not start the next one of its queue, so requests kept their places in the queue while all slots were free, also after the silence. A silent upstream only stops responding now. crash still empties the queue.

TestQueueIsServedAfterSilence failed before. In a run of go test ./internal/experiment with this change all other tests passed.

--- a/internal/experiment/upstream.go
+++ b/internal/experiment/upstream.go
@@ -128,10 +128,7 @@
 		u.running--
 		sim.balance.note(u, u.running+1)
 		sim.balance.countCompleted(sim, u)
-		if u.silent {
-			return
-		}
-		if sim.random.Float64() >= u.muteRate {
+		if !u.silent && sim.random.Float64() >= u.muteRate {
 			sim.after(callerDelay, func() { r.flow.handleResponse(r.number, served) })
 		}
 		if len(u.queue) > 0 {
