feed: keep partners while the store answers nobody

Cause: a partner whose last contact with the store was more than four seconds ago was left as stale. In an outage of the store that holds for all partners, so each slot would call ever more hosts, with a TLS handshake each, and hosts would take themselves to be isolated.

Change: a partner is stale only if the store has answered this host lately. Any answer of a partner counts against being isolated.

--- a/internal/feed/feed_test.go
+++ b/internal/feed/feed_test.go
@@ -24,8 +24,10 @@
 	during func()
 	// progress is the answer of Progress.
 	progress catalog.Progress
-	lists    []bool   // allowStale of each call of List
-	watches  []uint64 // position of each call of Watch
+	// age is the age in it.
+	age     time.Duration
+	lists   []bool   // allowStale of each call of List
+	watches []uint64 // position of each call of Watch
 }
 
 func (s *fakeSource) List(_ context.Context, after string, allowStale bool) (catalog.Page, error) {
@@ -48,7 +50,7 @@
 }
 
 func (s *fakeSource) Progress(context.Context, catalog.Progress, time.Duration) (PeerProgress, error) {
-	return PeerProgress{Progress: s.progress}, s.err
+	return PeerProgress{Progress: s.progress, Age: s.age}, s.err
 }
 
 // testFeed is a feed with a virtual clock and fake sources.
--- a/internal/feed/lag.go
+++ b/internal/feed/lag.go
@@ -87,10 +87,13 @@
 	if ctx.Err() != nil || told && err != nil {
 		return 0
 	}
+	if err == nil {
+		f.noteAnswer()
+	}
 	switch {
 	case err == nil && known.Isolated:
 		err = ErrIsolated
-	case err == nil && known.Age > f.currentTiming().OutageThreshold():
+	case err == nil && f.isStale(known.Age):
 		err = ErrStale
 	}
 	f.options.Metrics.observePartnerCall(err)
@@ -169,6 +172,20 @@
 	})
 }
 
+// noteAnswer records that another host has answered this one.
+func (f *Feed) noteAnswer() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.lag.answeredAt = f.options.Clock.Now()
+}
+
+// isStale reports whether the store answered a partner too long ago while it answered this
+// host lately. While it answers nobody, partners are as good as before.
+func (f *Feed) isStale(age time.Duration) bool {
+	threshold := f.currentTiming().OutageThreshold()
+	return age > threshold && f.Age() <= threshold
+}
+
 // nextPartner returns the partner that the slot asks next, or nil if there is none, how long
 // it may hold the call, and what this host knows. A host without a complete catalog asks
 // none: its source gives it all there is.
@@ -192,7 +209,6 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.partners.recordAnswer(slot)
-	f.lag.answeredAt = f.options.Clock.Now()
 	lacks := f.hearLocked(known.Progress)
 	if !lacks && known.Position.Epoch == f.catalog.Position().Epoch {
 		f.catalog.NoteContact(f.options.Clock.Now(), known.Age)
--- a/internal/feed/partners_test.go
+++ b/internal/feed/partners_test.go
@@ -215,3 +215,27 @@
 	g.Expect(f.feed.have().Position).To(Equal(at(40)))
 	g.Expect(f.feed.catalog.RestoredAt().IsZero()).To(BeTrue(), "a listing that took long shows no restore of the store")
 }
+
+// TestStalePartnerIsKeptInAnOutage guards against hosts that leave all their partners, and so
+// open connections to ever more hosts, because the store answers nobody.
+func TestStalePartnerIsKeptInAnOutage(t *testing.T) {
+	g := NewWithT(t)
+	f := partnerFeed(t)
+	f.peer.age = time.Minute
+	f.ask()
+	g.Expect(f.feed.partners.cooldownUntil).To(HaveLen(1), "the store answers this host, so the partner is cut off from it")
+	f.feed.partners.cooldownUntil = make(map[string]time.Time)
+	f.now = f.now.Add(time.Minute)
+	f.ask()
+	g.Expect(f.feed.partners.cooldownUntil).To(BeEmpty())
+	_, _, complete := f.feed.Progress()
+	g.Expect(complete).To(BeTrue())
+	f.feed.partners.slots[0].failures = isolatedFailures
+	known, _, _ := f.feed.Progress()
+	g.Expect(known.Isolated).To(BeFalse(), "a partner has just answered")
+	f.now = f.now.Add(2 * time.Second)
+	f.feed.partners.slots[1].failures = isolatedFailures
+	f.feed.partners.slots[2].failures = isolatedFailures
+	known, _, _ = f.feed.Progress()
+	g.Expect(known.Isolated).To(BeTrue())
+}
