echo: refuse callers above their share first while an overload lasts

Change: two decisions are swapped. A flow that could be admitted is refused if its caller has more than twice the mean of recent admissions and another's flow was refused in the last 100 ms; the next flow of another that would be refused within 100 ms is admitted instead. Never more flows are admitted than before (property test). Counts of at most 1,024 callers a service, halved each second. The model's callers have an address each, and the pattern greedy-caller.

Ruled out: holding flows to compare them, which delays refusals; a swap in which the admission comes first, which lets more flows in.

--- a/internal/experiment/caller.go
+++ b/internal/experiment/caller.go
@@ -35,7 +35,12 @@
 	// repeat them. Other callers open a flow for each request and don't repeat a
 	// request that may have run.
 	persistent bool
-	flow       *callerFlow
+	// greedy is the address of a caller that has many flows, each for one request, does not
+	// think between requests, and is not recorded. For other callers it is invalid.
+	greedy netip.Addr
+	// number is the index of the caller, from which its address is derived.
+	number int
+	flow   *callerFlow
 	// requestID identifies the current request, so that the timer of an earlier
 	// one has no effect.
 	requestID int
@@ -65,7 +70,7 @@
 // startCaller adds a caller of a data centre. It sends its first request after a
 // random think time.
 func (sim *simulation) startCaller(dc int, persistent bool) {
-	c := &caller{sim: sim, dc: dc, persistent: persistent}
+	c := &caller{sim: sim, dc: dc, persistent: persistent, number: len(sim.callers)}
 	sim.callers = append(sim.callers, c)
 	sim.after(sim.exponential(sim.options.ThinkTime), c.sendNext)
 }
@@ -118,6 +123,10 @@
 	}
 	f := &callerFlow{caller: c, destination: destination, seq: 1000, source: netip.AddrPortFrom(
 		netip.AddrFrom4([4]byte{100, 64 + byte(sim.flowsOpened>>22), byte(sim.flowsOpened >> 14), byte(sim.flowsOpened >> 6)}), uint16(1024+sim.flowsOpened%60000))}
+	f.source = netip.AddrPortFrom(netip.AddrFrom4([4]byte{100, 64 + byte(c.number>>16), byte(c.number >> 8), byte(c.number)}), f.source.Port())
+	if c.greedy.IsValid() {
+		f.source = netip.AddrPortFrom(c.greedy, f.source.Port())
+	}
 	c.flow = f
 	for copyNumber, delay := range []time.Duration{0, firstRetransmit, secondRetransmit} {
 		sim.after(delay, func() {
@@ -247,7 +256,7 @@
 		f.ack -= responseSize - errorSize
 	}
 	f.sendPacket(echo.Segment{ACK: true}, func(*upstreamNode) {})
-	if !c.persistent || f.upstream.draining || c.sim.endsFlow() {
+	if !c.persistent || c.greedy.IsValid() || f.upstream.draining || c.sim.endsFlow() {
 		f.close()
 	}
 	if o == rejected || o == errored {
@@ -304,6 +313,12 @@
 func (c *caller) finish(o outcome) {
 	sim := c.sim
 	c.pending = false
+	if c.greedy.IsValid() {
+		if sim.now.Before(runStart.Add(patternEnd)) {
+			sim.after(greedyPause, c.sendNext)
+		}
+		return
+	}
 	sim.recorder.record(c.sentAt.Sub(runStart), c.dc, o, sim.now.Sub(c.sentAt))
 	factor := sim.loadFactor
 	if sim.demand != nil {
--- a/internal/experiment/pattern.go
+++ b/internal/experiment/pattern.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math"
+	"net/netip"
 	"slices"
 	"time"
 
@@ -37,6 +38,10 @@
 	// moveInterval is the time between two moves of callers, and one in movingFraction moves.
 	moveInterval   = 4 * time.Second
 	movingFraction = 3
+	// greedyFlows is the number of flows of the greedy caller of each data centre, and
+	// greedyPause the time from the end of one to the next.
+	greedyFlows = 40
+	greedyPause = 100 * time.Millisecond
 )
 
 // Patterns returns all patterns in the order in which they are listed.
@@ -47,6 +52,7 @@
 		{"moving-callers", "a third of the callers is in another data centre every few seconds", movingCallers},
 		{"burst", "1.7 times the normal load for six seconds", burst},
 		{"overload", "2.2 times the normal load for six seconds, more than all slots can serve", overload},
+		{"greedy-caller", "one caller in each data centre has forty flows for six seconds; its requests are not counted", greedyCaller},
 		{"rolling-release", "upstreams are replaced by cold ones, one after the other", rollingRelease},
 		{"scale-in", "a fifth of the upstreams is drained and stopped", scaleIn},
 		{"zone-cut", "one data centre is cut off from the others for six seconds", zoneCut},
@@ -141,6 +147,16 @@
 	sim.at(patternEnd, func() { sim.loadFactor = 1 })
 }
 
+func greedyCaller(sim *simulation) {
+	sim.at(patternStart, func() {
+		for i := range greedyFlows * sim.options.DataCentres {
+			dc := i % sim.options.DataCentres
+			c := &caller{sim: sim, dc: dc, persistent: true, greedy: netip.AddrFrom4([4]byte{101, 0, 0, byte(dc)})}
+			c.sendNext()
+		}
+	})
+}
+
 func rollingRelease(sim *simulation) {
 	for i, u := range slices.Clone(sim.upstreams) {
 		sim.at(5*time.Second+time.Duration(i)*time.Second, func() {
--- a/internal/experiment/pattern_test.go
+++ b/internal/experiment/pattern_test.go
@@ -189,3 +189,24 @@
 		t.Errorf("%d of %d requests are not served, want at most %.0f", unserved, requests, limit)
 	}
 }
+
+// TestGreedyCallerTakesLessFromOthers checks the pattern greedy-caller: with FairQueueing other
+// callers, which open flows often, are refused less.
+func TestGreedyCallerTakesLessFromOthers(t *testing.T) {
+	p, err := Find("greedy-caller")
+	if err != nil {
+		t.Fatal(err)
+	}
+	fair, without := 0, 0
+	options := DefaultOptions()
+	options.FlowRequests = 2
+	for options.Seed = 1; options.Seed <= 6; options.Seed++ {
+		options.Without = 0
+		fair += Run(p, echo.LeastUsed, options).Refused
+		options.Without = 1 << echo.FairQueueing
+		without += Run(p, echo.LeastUsed, options).Refused
+	}
+	if float64(fair) > 0.9*float64(without) {
+		t.Errorf("%d requests of others refused, %d without fair queueing", fair, without)
+	}
+}
--- a/internal/flow/echo/admission_queue.go
+++ b/internal/flow/echo/admission_queue.go
@@ -214,7 +214,7 @@
 }
 
 // forget drops the shares if the queue has been empty for shareMemory. It reports whether
-// it did.
+// there are none.
 func (q *admissionQueue) forget(now time.Time) bool {
 	if len(q.flows) > 0 || now.Sub(q.shares.usedAt) <= shareMemory {
 		return false
--- a/internal/flow/echo/admit.go
+++ b/internal/flow/echo/admit.go
@@ -48,6 +48,19 @@
 	}
 }
 
+// fairAdmissionOf is admissionOf for a flow that has not been forwarded yet. While an overload
+// lasts, fairRefusal may swap the decisions on two flows.
+func (e *Engine) fairAdmissionOf(now time.Time, p *pool, r *route, u *upstream, s *Segment) admission {
+	a := e.admissionOf(now, p, r, u, s)
+	if !r.sheddable || a == enqueue || !p.overload.lasts(now) || e.options.Without.Has(FairQueueing) || e.options.Without.Has(OverloadRefusal) {
+		return a
+	}
+	if !slices.Contains(e.sharingPools, p) {
+		e.sharingPools = append(e.sharingPools, p)
+	}
+	return p.refusal.decide(now, s.Caller.Addr(), a)
+}
+
 // requestTimeout returns the deadline of a request of the route.
 func (r *route) requestTimeout() time.Duration {
 	if r.Timeout > 0 {
@@ -100,9 +113,12 @@
 	return true
 }
 
-// forgetShares drops the shares of callers and routes that no flow has needed for shareMemory.
+// forgetShares drops the shares and counts of callers and routes that are no longer needed.
 func (e *Engine) forgetShares(now time.Time) {
-	e.sharingPools = slices.DeleteFunc(e.sharingPools, func(p *pool) bool { return p.queue.forget(now) })
+	e.sharingPools = slices.DeleteFunc(e.sharingPools, func(p *pool) bool {
+		waited, refused := p.queue.forget(now), p.refusal.forget(now)
+		return waited && refused
+	})
 }
 
 // PendingRefusals returns the number of flows that have given way to others and that
@@ -174,7 +190,7 @@
 	if u == nil {
 		return f, e.withDetail(now, Decision{Verdict: Reset, Reason: e.refusalReason(f.route)}, f.route, nil, nil)
 	}
-	switch e.admissionOf(now, chosen, f.route, u, &f.syn) {
+	switch e.fairAdmissionOf(now, chosen, f.route, u, &f.syn) {
 	case refuse:
 		return f, e.withDetail(now, Decision{Verdict: Reset, Reason: Overloaded}, f.route, u, nil)
 	case enqueue:
--- a/internal/flow/echo/fair_queue_test.go
+++ b/internal/flow/echo/fair_queue_test.go
@@ -1,6 +1,7 @@
 package echo
 
 import (
+	"math/rand/v2"
 	"net/netip"
 	"testing"
 	"time"
@@ -272,3 +273,66 @@
 		}
 	})
 }
+
+// TestGreedyCallerIsRefusedFirst guards against a lasting overload that refuses all callers
+// alike, and against more admissions than without fairness. One caller sends four of five flows,
+// of which a fifth is admitted at random.
+func TestGreedyCallerIsRefusedFirst(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var r fairRefusal
+		random := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 1))
+		now, most, admitted, othersBefore, others := startTime, 0, 0, 0, 0
+		for range 5000 {
+			now = now.Add(time.Millisecond)
+			caller := max(0, random.IntN(100)-79)
+			a := refuse
+			if random.IntN(5) == 0 {
+				a = admit
+				most++
+			}
+			wasAdmitted := a == admit
+			a = r.decide(now, waitingFrom(now, caller, 1, watchAddress, 0).syn.Caller.Addr(), a)
+			if a == admit {
+				admitted++
+			}
+			if admitted > most || admitted < most-1-int(now.Sub(startTime)/swapTime) {
+				t.Fatalf("%d admitted, %d without fairness", admitted, most)
+			}
+			if caller > 0 {
+				if wasAdmitted {
+					othersBefore++
+				}
+				if a == admit {
+					others++
+				}
+			}
+		}
+		if others < 2*othersBefore {
+			t.Fatalf("%d flows of the twenty other callers admitted, %d without fairness", others, othersBefore)
+		}
+	})
+}
+
+// TestFewCallersAreRefusedAlike guards against refusals of callers that are not above their share,
+// and against counts by the number of callers.
+func TestFewCallersAreRefusedAlike(t *testing.T) {
+	g := NewWithT(t)
+	var r fairRefusal
+	now := startTime
+	for i := range 5000 {
+		now = now.Add(time.Millisecond)
+		a := admission(i % 7 % 2 * int(refuse)) // admit or refuse
+		g.Expect(r.decide(now, waitingFrom(now, i%10, 1, watchAddress, 0).syn.Caller.Addr(), a)).To(Equal(a))
+	}
+	now = now.Add(swapTime)
+	for i := range 5000 {
+		caller := max(0, i%40-30) // nobody else is refused
+		g.Expect(r.decide(now, waitingFrom(now, caller, 1, watchAddress, 0).syn.Caller.Addr(), admit)).To(Equal(admit))
+	}
+	for i := range 5000 {
+		r.decide(now, waitingFrom(now, i, 1, watchAddress, 0).syn.Caller.Addr(), admit)
+	}
+	g.Expect(r.admitted).To(HaveLen(maxRefusalCallers))
+	g.Expect(r.forget(now)).To(BeFalse())
+	g.Expect(r.forget(now.Add(2 * decayTime))).To(BeTrue())
+}
--- a/internal/flow/echo/overload_period.go
+++ b/internal/flow/echo/overload_period.go
@@ -27,3 +27,8 @@
 	o.last = now
 	return now.Sub(o.since) > backlogTime
 }
+
+// lasts reports whether there is an overload that has lasted longer than backlogTime.
+func (o *overloadPeriod) lasts(now time.Time) bool {
+	return now.Sub(o.last) <= overloadGap && now.Sub(o.since) > backlogTime
+}
--- a/internal/flow/echo/pool.go
+++ b/internal/flow/echo/pool.go
@@ -55,6 +55,8 @@
 	overload overloadPeriod
 	// queue holds the new flows that wait for a slot.
 	queue admissionQueue
+	// refusal decides which flows are refused while an overload lasts.
+	refusal fairRefusal
 }
 
 // updateProcessingTime adds a response time to the moving averages of the processing
--- a/internal/flow/echo/syn.go
+++ b/internal/flow/echo/syn.go
@@ -23,7 +23,7 @@
 	if p.queue.find(s) != nil {
 		return Decision{Verdict: Hold, Reason: Queued}
 	}
-	switch e.admissionOf(now, p, r, u, s) {
+	switch e.fairAdmissionOf(now, p, r, u, s) {
 	case enqueue:
 		return e.enqueueFlow(now, p, r, s, u, nil)
 	case refuse:
