--- a/internal/flow/echo/syn.go
+++ b/internal/flow/echo/syn.go
@@ -19,7 +19,7 @@
 	if p.queue.find(s) != nil {
 		return Decision{Verdict: Hold, Reason: Queued}
 	}
-	admitted := e.admissionOf(now, p, r, u, s)
+	admitted := e.fairAdmissionOf(now, p, r, u, s)
 	if admitted == enqueue {
 		if d := e.enqueueFlow(now, p, r, s, u, nil); d.Verdict == Hold || refuse.refuses(s) {
 			return d
