--- a/cmd/oatlatch/status_test.go
+++ b/cmd/oatlatch/status_test.go
@@ -64,11 +64,10 @@
 	g.Expect(store.Put(standin.ConfigurationKey, standin.Configuration(7, []standin.Route{{Address: netip.MustParseAddrPort("198.18.0.1:443"), Service: "desk", Timeout: 2500}}, []string{"desk"}))).To(Succeed())
 	for i, dataCentre := range []string{"quay", "quay", "bay", "bay"} {
 		u := standin.UpstreamOptions{Name: fmt.Sprintf("i-%08x", 1+i), Service: "desk", DataCentre: dataCentre, Slots: 2, Address: netip.MustParseAddrPort("10.0.0.1:80")}
-		record := u.Registration(i == 0)
 		if i == 1 {
-			record["warmup_left_ms"] = 60_000
+			u.Warmup = time.Minute
 		}
-		g.Expect(store.Put(u.StoreKey(), record)).To(Succeed())
+		g.Expect(store.Put(u.StoreKey(), u.Registration(i == 0))).To(Succeed())
 	}
 	base := startEdgeHost(t, store)
 	g.Expect(store.Put(standin.EvacuationKey("bay"), "")).To(Succeed())
--- a/internal/edge/warmup_runner_test.go
+++ b/internal/edge/warmup_runner_test.go
@@ -60,13 +60,11 @@
 	address := netip.MustParseAddrPort("198.18.0.1:443")
 	configuration := standin.Configuration(7, []standin.Route{{Address: address, Service: "desk", Priority: 1, Timeout: 2500}}, nil).(map[string]any)
 	configuration["services"] = []map[string]any{{"name": "desk", "health_path": "/health", "warmup_s": 60, "warmup_per_s": 10}}
-	u := standin.UpstreamOptions{Name: "i-00001000", Service: "desk", DataCentre: "quay", Slots: 1000, Address: netip.MustParseAddrPort("10.0.0.1:80")}
-	record := u.Registration(false)
-	record["warmup_left_ms"] = warmup.Milliseconds()
+	u := standin.UpstreamOptions{Name: "i-00001000", Service: "desk", DataCentre: "quay", Slots: 1000, Address: netip.MustParseAddrPort("10.0.0.1:80"), Warmup: warmup}
 	// Hosts need not wait for the permissions of a former epoch.
 	g.Expect(store.Put("oatlatch/warmup-epoch", 0)).To(Succeed())
 	g.Expect(store.Put(standin.ConfigurationKey, configuration)).To(Succeed())
-	g.Expect(store.Put(u.StoreKey(), record)).To(Succeed())
+	g.Expect(store.Put(u.StoreKey(), u.Registration(false))).To(Succeed())
 
 	var mu sync.Mutex
 	var opened []time.Time
