--- a/internal/flow/echo/choose.go
+++ b/internal/flow/echo/choose.go
@@ -80,9 +80,9 @@
 		case u == avoid || !r.allows(u):
 		case eligible(u) && e.withinWarmup(now, u):
 			candidates = append(candidates, u)
-			returned = returned || u.recent.away
+			returned = returned || u.recent.ineligible
 		default:
-			u.recent.away = true
+			u.recent.ineligible = true
 		}
 	}
 	e.candidates = candidates
--- a/internal/flow/echo/fair_refusal.go
+++ b/internal/flow/echo/fair_refusal.go
@@ -19,9 +19,9 @@
 	refusedCallerCount = 0.25
 	// minCallerCount is the count below which a caller is forgotten.
 	minCallerCount = 0.1
-	// greedyFactor is the multiple of the mean count from which on a caller is above its fair
+	// shareFactor is the multiple of the mean count from which on a caller is above its fair
 	// share. Counts differ by chance.
-	greedyFactor = 2
+	shareFactor = 2
 	// swapTime is the longest time between two flows of which one is refused in place of the
 	// other. A slot is left free for so long at most, if nobody comes for it.
 	swapTime = 100 * time.Millisecond
@@ -46,23 +46,23 @@
 // decide returns what to do with a flow of the caller that would be admitted or refused.
 func (r *fairRefusal) decide(now time.Time, caller netip.Addr, a admission) admission {
 	r.decay(now)
-	greedy := r.greedy(caller)
+	above := r.aboveShare(caller)
 	switch {
-	case a == admit && greedy && !(r.owed && now.Sub(r.owedAt) < swapTime) && now.Sub(r.otherRefusedAt) < swapTime:
+	case a == admit && above && !(r.owed && now.Sub(r.owedAt) < swapTime) && now.Sub(r.otherRefusedAt) < swapTime:
 		r.owed, r.owedAt, a = true, now, refuse
-	case a == refuse && !greedy && r.owed && now.Sub(r.owedAt) < swapTime:
+	case a == refuse && !above && r.owed && now.Sub(r.owedAt) < swapTime:
 		r.owed, a = false, admit
-	case a == refuse && !greedy:
+	case a == refuse && !above:
 		r.otherRefusedAt = now
 	}
 	r.count(caller, a)
 	return a
 }
 
-// greedy reports whether the caller is above its fair share.
-func (r *fairRefusal) greedy(caller netip.Addr) bool {
+// aboveShare reports whether the caller is above its fair share.
+func (r *fairRefusal) aboveShare(caller netip.Addr) bool {
 	n := r.admitted[caller]
-	return n >= greedyFactor && n > greedyFactor*r.total/float64(len(r.admitted))
+	return n >= shareFactor && n > shareFactor*r.total/float64(len(r.admitted))
 }
 
 // count counts the decision on a flow of the caller.
--- a/internal/flow/echo/recent.go
+++ b/internal/flow/echo/recent.go
@@ -24,8 +24,8 @@
 // changes with Engine.recentOrigin, so it can only be compared with others.
 type recentRequests struct {
 	count float64
-	// away is set if the last choice from the upstream's pool could not take it.
-	away bool
+	// ineligible is set if the last choice from the upstream's pool could not take it.
+	ineligible bool
 }
 
 // countRecent counts a request of this host at the upstream, or a flow that will send one.
@@ -77,16 +77,16 @@
 func startAtMean(now time.Time, candidates []*upstream) {
 	var counts, slots [2]float64
 	for _, u := range candidates {
-		if !u.recent.away {
+		if !u.recent.ineligible {
 			counts[u.side()] += u.recent.count
 			slots[u.side()] += u.effectiveSlots(now)
 		}
 	}
 	for _, u := range candidates {
-		if u.recent.away && slots[u.side()] > 0 {
+		if u.recent.ineligible && slots[u.side()] > 0 {
 			u.recent.count = max(u.recent.count, counts[u.side()]/slots[u.side()]*u.effectiveSlots(now))
 		}
-		u.recent.away = false
+		u.recent.ineligible = false
 	}
 }
 
--- a/internal/flow/echo/region_test.go
+++ b/internal/flow/echo/region_test.go
@@ -126,7 +126,7 @@
 	h := newRegionHarness(t, newEntry(1, localDC), newEntry(2, remoteDC))
 	h.newFlow(watchAddress).open()
 	h.newFlow(orderAddress).open()
-	if h.engine.upstreams[1].recent.away {
+	if h.engine.upstreams[1].recent.ineligible {
 		t.Error("the upstream counts as away")
 	}
 }
--- a/internal/flow/echo/view.go
+++ b/internal/flow/echo/view.go
@@ -70,14 +70,14 @@
 	for _, entry := range entries {
 		u := e.upstreams[entry.ID]
 		if u == nil {
-			u = &upstream{token: tokenOf(entry.ID), recent: recentRequests{away: true}}
+			u = &upstream{token: tokenOf(entry.ID), recent: recentRequests{ineligible: true}}
 		}
 		if u.Presence != 0 && !u.Started.Equal(entry.Started) {
 			// A new process uses the same ID. Suspicion and hold-down applied to the old one.
 			e.clearSuspicion(now, u, Restarted)
 			u.holdDown = 0
 			u.ejection, u.counts = ejection{}, answerCounts{}
-			u.recent = recentRequests{away: true}
+			u.recent = recentRequests{ineligible: true}
 		}
 		u.noteProcess(now, &entry)
 		u.Entry = entry
