evidence: count strikes after the last answer of all reports is known

A strike that is later than the answer was added to an earlier one first, and both were void, so a host could miss a silent upstream until the next report. Change: the last answer of all reports is found first, then strikes are counted.

--- a/internal/evidence/entry.go
+++ b/internal/evidence/entry.go
@@ -31,18 +31,22 @@
 	AnswerAge time.Duration
 }
 
-// add returns the entry for the hosts of both entries together. Strikes of one side are
-// void if the other one has had an answer since.
-func (e Entry) add(other Entry) Entry {
-	sum := Entry{
-		Upstream: e.Upstream, Answers: e.Answers + other.Answers, Failed: e.Failed + other.Failed,
-		FailingHosts: e.FailingHosts + other.FailingHosts, AnswerAge: min(e.AnswerAge, other.AnswerAge),
+// combine returns the entry for the hosts of all entries together, which are of one
+// upstream. Strikes of a side are void if any other one has had an answer since, so the
+// last answer of all is found before strikes are counted: the order does not matter.
+func combine(entries []Entry) Entry {
+	sum := Entry{Upstream: entries[0].Upstream, AnswerAge: NoAnswer}
+	for _, e := range entries {
+		sum.Answers += e.Answers
+		sum.Failed += e.Failed
+		sum.FailingHosts += e.FailingHosts
+		sum.AnswerAge = min(sum.AnswerAge, e.AnswerAge)
 	}
-	for _, side := range []*Entry{&e, &other} {
-		if side.Strikes > 0 && side.StrikeAge < sum.AnswerAge {
-			sum.Strikes += side.Strikes
-			sum.SilentHosts += side.SilentHosts
-			sum.StrikeAge = max(sum.StrikeAge, side.StrikeAge)
+	for _, e := range entries {
+		if e.Strikes > 0 && e.StrikeAge < sum.AnswerAge {
+			sum.Strikes += e.Strikes
+			sum.SilentHosts += e.SilentHosts
+			sum.StrikeAge = max(sum.StrikeAge, e.StrikeAge)
 		}
 	}
 	return sum
--- a/internal/evidence/evidence_test.go
+++ b/internal/evidence/evidence_test.go
@@ -43,6 +43,18 @@
 	g.Expect(sum.Strikes).To(Equal(1), "only the strike of c is later than the answer")
 }
 
+// TestOrderOfReportsDoesNotMatter guards against sums of pairs: a strike later than the
+// answer was void if it was first added to an earlier one.
+func TestOrderOfReportsDoesNotMatter(t *testing.T) {
+	g := NewWithT(t)
+	early, answer, late := strike(300*time.Millisecond), answered(100*time.Millisecond), strike(50*time.Millisecond)
+	want := combine([]Entry{early, answer, late})
+	g.Expect(want.Strikes).To(Equal(1))
+	for _, order := range [][]Entry{{early, late, answer}, {late, early, answer}, {late, answer, early}, {answer, early, late}, {answer, late, early}} {
+		g.Expect(combine(order)).To(Equal(want))
+	}
+}
+
 // TestReportsEndByThemselves covers a host that is gone or cut off.
 func TestReportsEndByThemselves(t *testing.T) {
 	g := NewWithT(t)
--- a/internal/evidence/node.go
+++ b/internal/evidence/node.go
@@ -59,10 +59,10 @@
 // Subtree returns the sums of the host's own entries and those of its children. The host
 // that is its parent is left out, should it be a child as well.
 func (n *Node) Subtree(now time.Time, own []Entry, parent string) Report {
-	sums := make(map[catalog.UpstreamID]Entry)
+	sides := make(map[catalog.UpstreamID][]Entry, len(own))
 	depth := 1
 	for _, e := range own {
-		sums[e.Upstream] = e
+		sides[e.Upstream] = append(sides[e.Upstream], e)
 	}
 	for name, child := range n.children {
 		if !child.valid(now) {
@@ -74,16 +74,12 @@
 		}
 		depth = max(depth, child.Depth+1)
 		for _, e := range child.Entries {
-			e = e.aged(now.Sub(child.at))
-			if sum, ok := sums[e.Upstream]; ok {
-				e = sum.add(e)
-			}
-			sums[e.Upstream] = e
+			sides[e.Upstream] = append(sides[e.Upstream], e.aged(now.Sub(child.at)))
 		}
 	}
-	r := Report{Entries: make([]Entry, 0, len(sums)), Depth: depth}
-	for _, e := range sums {
-		r.Entries = append(r.Entries, e)
+	r := Report{Entries: make([]Entry, 0, len(sides)), Depth: depth}
+	for _, entries := range sides {
+		r.Entries = append(r.Entries, combine(entries))
 	}
 	slices.SortFunc(r.Entries, func(a, b Entry) int { return cmp.Compare(a.Upstream, b.Upstream) })
 	return r
