edge, seed: live hosts offer pages to hosts that start while the store is away

Change: hosts that live know the address of those that were registered. They ask a random one now and then whether it has a catalog, and give a page to one that has none or an older one. A host that serves by a page of a seed follows its changes, and asks again if all seeds refuse. Lines host_joined and host_left name the other host as peer; as host it replaced the name of the host that logs.

--- a/cmd/oatlatchd/seed_test.go
+++ b/cmd/oatlatchd/seed_test.go
@@ -76,3 +76,31 @@
 		})
 	}
 }
+
+// TestRestartWhileTheStoreIsAway guards against a host that serves nobody after a restart
+// while the store is silent, although another host lives that knew it.
+func TestRestartWhileTheStoreIsAway(t *testing.T) {
+	store, err := standin.NewStore()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer store.Close()
+	route := standin.Route{Address: netip.MustParseAddrPort("198.18.0.1:443"), Service: "desk", Timeout: int(time.Second.Milliseconds())}
+	u := standin.UpstreamOptions{Name: "i-0000000001", Service: "desk", DataCentre: "a", Slots: 2, Address: netip.MustParseAddrPort("127.9.0.1:8080")}
+	for key, value := range map[string]any{u.StoreKey(): u.Registration(false), standin.ConfigurationKey: standin.Configuration(3, []standin.Route{route}, []string{"desk"})} {
+		if err := store.Put(key, value); err != nil {
+			t.Fatal(err)
+		}
+	}
+	daemon, log := buildDaemon(t), newHostLog()
+	startHost(t, daemon, "h-1", store.Address(), log, "", "")
+	seedAddress := "seed = " + freeAddress(t).String() + "\n"
+	t.Run("before", func(t *testing.T) { // its end kills the host
+		startHost(t, daemon, "h-2", store.Address(), log, seedAddress, "")
+		log.await(t, []string{"h-1"}, "host_joined", "peer", "h-2")
+	})
+	store.SetDelay(time.Hour)
+	startHost(t, daemon, "h-2", store.Address(), log, seedAddress, "")
+	log.await(t, []string{"h-1"}, "page_offered", "to", "h-2")
+	log.await(t, []string{"h-2"}, "seed_used", "version", "3")
+}
--- a/internal/edge/host.go
+++ b/internal/edge/host.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"sync/atomic"
@@ -44,6 +45,7 @@
 	peers           *peers
 	exchange        *evidencerpc.Exchange
 	seeding         *seeding
+	offering        *offering
 	snapshots       *snapshotPublisher
 	warmup          *warmupRunner
 	readyListener   net.Listener
@@ -108,6 +110,10 @@
 		logger: options.Logger, now: options.Now, retention: catalog.RetentionOf(s.Limits.FlowAge),
 		apply: h.serveView, requireCurrent: h.feed.RequireCurrent,
 	}
+	h.offering = &offering{
+		self: s.Host.ID, dataCentre: s.Host.DataCentre, page: h.feed.Snapshot, age: h.feed.Age, offer: seed.Offer,
+		logger: options.Logger, now: options.Now, random: rand.New(rand.NewPCG(options.Seed, offeringStream)),
+	}
 	if h.readyListener, err = serve.Listen("ready", s.Listen.Ready); err != nil {
 		return nil, err
 	}
@@ -166,6 +172,7 @@
 		group.Go(func() error { return h.feed.RunPartner(groupCtx, slot) })
 	}
 	group.Go(func() error { return h.seeding.run(groupCtx, h.options.Settings.Store.Seeds) })
+	group.Go(func() error { return h.offering.run(groupCtx) })
 	group.Go(func() error { return h.prober.run(groupCtx) })
 	group.Go(func() error { return new(stallDetector).run(groupCtx, h.options.Now, h.options.Logger) })
 	group.Go(func() error { return h.peers.run(groupCtx) })
@@ -195,6 +202,7 @@
 	h.peers.setView(&view)
 	self := &h.options.Settings.Host
 	h.exchange.SetParents(feed.Parents(view.Hosts, self.ID, self.DataCentre))
+	h.offering.setHosts(view.Hosts)
 	h.snapshots.setView(&view, h.options.Settings.Host.DataCentre)
 }
 
@@ -237,7 +245,7 @@
 	mux.HandleFunc("GET "+h.options.ReadyPath, h.handleReady)
 	serve.RunHTTP(ctx, group, newServer(mux), h.readyListener)
 	if h.seedListener != nil {
-		server := newServer(seed.NewServer(h.feed, h.options.Now))
+		server := newServer(seed.NewServer(h.feed, h.seeding, h.options.Now))
 		serve.RunHTTP(ctx, group, server, h.seedListener)
 	}
 	if h.metricsListener != nil {
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -145,7 +145,7 @@
 	p.client.Store(client)
 	registrar := registration.NewRegistrar(registration.Options{
 		Store: p.options.Registration, Logger: p.options.Logger, Seed: p.options.Seed,
-		Host: catalog.Host{Name: s.Host.ID, DataCentre: s.Host.DataCentre, Peer: server.Addr(), Bandwidth: s.Limits.Bandwidth},
+		Host: catalog.Host{Name: s.Host.ID, DataCentre: s.Host.DataCentre, Peer: server.Addr(), Seed: s.Listen.Seed, Bandwidth: s.Limits.Bandwidth},
 	})
 	p.registrar.Store(registrar)
 	group, groupCtx := errgroup.WithContext(ctx)
--- a/internal/edge/seeding.go
+++ b/internal/edge/seeding.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net/netip"
 	"slices"
 	"sync"
@@ -14,8 +15,17 @@
 	"github.com/oatlatch/oatlatch/internal/wait"
 )
 
-// seedDelay is how long a host that starts waits for the store before it asks its seeds.
-const seedDelay = 80 * time.Millisecond
+const (
+	// seedDelay is how long a host that starts waits for the store before it asks its seeds.
+	seedDelay = 80 * time.Millisecond
+	// minSeedBackoff and maxSeedBackoff are the delays until a host asks again after all
+	// seeds have refused. A seed that has lost power too may be offered a page meanwhile.
+	minSeedBackoff = 250 * time.Millisecond
+	maxSeedBackoff = 4 * time.Second
+	// seedFollowInterval is the time between questions of a host that serves by the page of
+	// a seed. It is below the time within which configurations must be in force.
+	seedFollowInterval = time.Second
+)
 
 // seeding gives a host that starts the state of a seed while neither the store nor a host
 // with the peer key has told it anything. That state is not authentic: it only serves
@@ -37,6 +47,8 @@
 	// evacuations are those of the seed, at its position.
 	evacuations []catalog.Evacuation
 	position    catalog.Position
+	// tag is that of the seed's page.
+	tag string
 	// ended is set once a view from elsewhere is in force.
 	ended bool
 }
@@ -56,19 +68,35 @@
 	return true
 }
 
-// run asks the seeds unless the store answers first.
+// run asks the seeds until the store or a host with the peer key answers. While a page of
+// theirs is in force it follows its changes, since the store tells this host none.
 func (s *seeding) run(ctx context.Context, seeds []netip.AddrPort) error {
-	if len(seeds) == 0 || wait.Sleep(ctx, seedDelay) != nil || s.isEnded() {
+	if len(seeds) == 0 {
 		return nil
 	}
-	page, from, err := seed.Ask(ctx, seeds)
-	if err != nil {
-		if ctx.Err() == nil && !s.isEnded() {
+	seeds = slices.Clone(seeds)
+	var have string
+	backoff := minSeedBackoff
+	for delay := seedDelay; wait.Sleep(ctx, delay) == nil && !s.isEnded(); {
+		answer, err := seed.Ask(ctx, seeds, have)
+		switch {
+		case ctx.Err() != nil || s.isEnded():
+			return nil
+		case err == nil:
+			if !answer.Unchanged {
+				s.serve(&answer.Page, answer.Seed)
+				have = answer.Tag
+			}
+			delay = seedFollowInterval
+			// The next one first, as this one may be behind the others.
+			seeds = append(seeds[1:], seeds[0])
+			continue
+		case backoff == minSeedBackoff && have == "":
 			s.logger.Info().Err(err).Int("seeds", len(seeds)).Msg("seeds_not_used")
 		}
-		return nil
+		delay = backoff/2 + rand.N(backoff/2)
+		backoff = min(2*backoff, maxSeedBackoff)
 	}
-	s.serve(&page, from)
 	return nil
 }
 
@@ -78,29 +106,41 @@
 	return s.ended
 }
 
-// serve puts the page of a seed in force, unless a view from elsewhere is.
-func (s *seeding) serve(page *catalog.Page, from netip.AddrPort) {
+// Take implements seed.Offered.
+func (s *seeding) Take(page *catalog.Page) bool { return s.serve(page, netip.AddrPort{}) }
+
+// Tag implements seed.Offered.
+func (s *seeding) Tag() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.tag
+}
+
+// serve puts the page of a seed, or one that a host without an address here has offered, in
+// force unless a view from elsewhere is. It returns false if it does not.
+func (s *seeding) serve(page *catalog.Page, from netip.AddrPort) bool {
 	c := catalog.New(catalog.Options{Retention: s.retention})
 	c.BeginListing()
 	if err := c.AddPage(s.now(), *page); err != nil {
 		s.logger.Info().Err(err).Msg("seeds_not_used")
-		return
+		return false
 	}
 	view, _ := c.TakeView()
 	if view.Configuration == nil {
 		s.logger.Info().Err(seed.ErrInvalid).Stringer("seed", from).Msg("seeds_not_used")
-		return
+		return false
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.ended {
-		return
+	if s.ended || s.version != 0 && (view.Configuration.Version < s.version || !page.Position.After(s.position)) {
+		return false // a seed that is behind, or has nothing new
 	}
-	s.version, s.evacuations, s.position = view.Configuration.Version, view.Evacuations, view.Position
+	s.version, s.evacuations, s.position, s.tag = view.Configuration.Version, view.Evacuations, view.Position, seed.Tag(page)
 	s.requireCurrent()
 	s.logger.Info().Stringer("seed", from).Uint64("version", s.version).Int("upstreams", len(view.Upstreams)).
 		Uint64("epoch", page.Position.Epoch).Uint64("position", page.Position.Revision).Dur("age_ms", page.Age).Msg("seed_used")
 	s.apply(view)
+	return true
 }
 
 // sameEvacuations reports whether both lists name the same data centres. They are sorted.
--- a/internal/edge/seeding_test.go
+++ b/internal/edge/seeding_test.go
@@ -50,6 +50,16 @@
 		s.serve(seedPage(9), netip.AddrPort{})
 		g.Expect(*applied).To(Equal([]uint64{7}))
 	})
+	t.Run("seeds tell of changes", func(t *testing.T) {
+		g := NewWithT(t)
+		s, applied := newTestSeeding()
+		s.serve(seedPage(7), netip.AddrPort{})
+		later, behind := seedPage(8), seedPage(6)
+		later.Position, behind.Position = at(12), at(11)
+		s.serve(later, netip.AddrPort{})
+		s.serve(behind, netip.AddrPort{})
+		g.Expect(*applied).To(Equal([]uint64{7, 8}), "a seed that is behind must not revert anything")
+	})
 	t.Run("an old snapshot differs in what is evacuated", func(t *testing.T) {
 		g := NewWithT(t)
 		s, _ := newTestSeeding()
--- a/internal/feed/view.go
+++ b/internal/feed/view.go
@@ -48,7 +48,7 @@
 		case catalog.ConfigurationAdopted, catalog.ConfigurationRefused:
 			line = line.Uint64("version", e.Version).Uint64("before", e.PreviousVersion)
 		case catalog.HostJoined, catalog.HostLeft:
-			line = line.Str("host", e.Name).Str("data_centre", e.DataCentre)
+			line = line.Str("peer", e.Name).Str("data_centre", e.DataCentre)
 		default:
 			line = line.Str("upstream", e.Name).Str("service", e.Service).Str("data_centre", e.DataCentre)
 		}
--- a/internal/seed/ask.go
+++ b/internal/seed/ask.go
@@ -37,71 +37,98 @@
 	return fmt.Sprintf("the seed answered with status %d: it has just started or is busy, ask another one", e.Status)
 }
 
-// answer is what one seed answered.
-type answer struct {
-	page catalog.Page
-	seed netip.AddrPort
-	err  error
+// Answer is what one seed answered.
+type Answer struct {
+	// Page is the seed's page. It is empty if Unchanged is set.
+	Page catalog.Page
+	// Tag identifies the content of the page, apart from its ages.
+	Tag string
+	// Unchanged is set if the asker has the page already.
+	Unchanged bool
+	// Seed is the address of the seed.
+	Seed netip.AddrPort
 }
 
-// Ask returns the page of the first seed that answers with one. It asks each seed at most
-// once, one after the other until one has answered.
-func Ask(ctx context.Context, seeds []netip.AddrPort) (catalog.Page, netip.AddrPort, error) {
+// result is the answer of one seed, or an error.
+type result struct {
+	Answer
+	err error
+}
+
+// Ask returns the answer of the first seed that has a page. It asks each seed at most once,
+// one after the other until one has answered. have is the tag of the page that the asker
+// has; empty for none.
+func Ask(ctx context.Context, seeds []netip.AddrPort, have string) (Answer, error) {
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
 	seeds = seeds[:min(len(seeds), MaxSeeds)]
-	client := &http.Client{Transport: &http.Transport{
-		DialContext: (&net.Dialer{Timeout: dialTimeout, KeepAlive: -1}).DialContext, DisableKeepAlives: true, DisableCompression: true,
-	}}
-	answers := make(chan answer, len(seeds))
+	client := newClient()
+	results := make(chan result, len(seeds))
 	hedge := time.NewTimer(0)
 	defer hedge.Stop()
 	asked, pending, last := 0, 0, errNoSeed
 	for asked < len(seeds) || pending > 0 {
 		select {
 		case <-ctx.Done():
-			return catalog.Page{}, netip.AddrPort{}, fmt.Errorf("ask seeds: %w", ctx.Err())
+			return Answer{}, fmt.Errorf("ask seeds: %w", ctx.Err())
 		case <-hedge.C:
 			if asked < len(seeds) {
 				seed := seeds[asked]
 				asked, pending = asked+1, pending+1
 				go func() {
-					page, err := ask(ctx, client, seed)
-					answers <- answer{page: page, seed: seed, err: err}
+					answer, err := ask(ctx, client, seed, have)
+					results <- result{answer, err}
 				}()
 				hedge.Reset(hedgeDelay)
 			}
-		case a := <-answers:
-			if a.err == nil {
-				return a.page, a.seed, nil
+		case r := <-results:
+			if r.err == nil {
+				return r.Answer, nil
 			}
-			pending, last = pending-1, a.err
+			pending, last = pending-1, r.err
 			hedge.Reset(0)
 		}
 	}
-	return catalog.Page{}, netip.AddrPort{}, fmt.Errorf("ask seeds: %w", last)
+	return Answer{}, fmt.Errorf("ask seeds: %w", last)
+}
+
+// newClient returns a client that closes each connection after its response.
+func newClient() *http.Client {
+	return &http.Client{Transport: &http.Transport{
+		DialContext: (&net.Dialer{Timeout: dialTimeout, KeepAlive: -1}).DialContext, DisableKeepAlives: true, DisableCompression: true,
+	}}
 }
 
 // ask asks one seed.
-func ask(ctx context.Context, client *http.Client, seed netip.AddrPort) (catalog.Page, error) {
+func ask(ctx context.Context, client *http.Client, seed netip.AddrPort, have string) (Answer, error) {
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+seed.String()+pagePath, nil)
 	if err != nil {
-		return catalog.Page{}, fmt.Errorf("request to a seed: %w", err)
+		return Answer{}, fmt.Errorf("request to a seed: %w", err)
+	}
+	if have != "" {
+		request.Header.Set("If-None-Match", have)
 	}
 	response, err := client.Do(request)
 	if err != nil {
-		return catalog.Page{}, fmt.Errorf("request to a seed: %w", err)
+		return Answer{}, fmt.Errorf("request to a seed: %w", err)
 	}
 	defer response.Body.Close()
-	if response.StatusCode != http.StatusOK {
-		return catalog.Page{}, &StatusError{Status: response.StatusCode}
+	answer := Answer{Tag: response.Header.Get("ETag"), Seed: seed}
+	switch response.StatusCode {
+	case http.StatusOK:
+	case http.StatusNotModified:
+		answer.Unchanged = true
+		return answer, nil
+	default:
+		return Answer{}, &StatusError{Status: response.StatusCode}
 	}
 	packed, err := io.ReadAll(io.LimitReader(response.Body, maxPageBytes+1))
 	if err != nil {
-		return catalog.Page{}, fmt.Errorf("response of a seed: %w", err)
+		return Answer{}, fmt.Errorf("response of a seed: %w", err)
 	}
 	if len(packed) > maxPageBytes {
-		return catalog.Page{}, fmt.Errorf("%w: more than %d bytes", ErrInvalid, maxPageBytes)
+		return Answer{}, fmt.Errorf("%w: more than %d bytes", ErrInvalid, maxPageBytes)
 	}
-	return decode(packed)
+	answer.Page, err = decode(packed)
+	return answer, err
 }
--- a/internal/seed/seed_test.go
+++ b/internal/seed/seed_test.go
@@ -55,7 +55,7 @@
 }
 
 func newSeed(t *testing.T, page *catalog.Page) netip.AddrPort {
-	return startSeed(t, NewServer(testCatalog{page}, time.Now))
+	return startSeed(t, NewServer(testCatalog{page}, nil, time.Now))
 }
 
 // TestSeedTellsOnlyWhatIsNeededToServe guards against secrets in a seed's page, and against a
@@ -63,9 +63,10 @@
 func TestSeedTellsOnlyWhatIsNeededToServe(t *testing.T) {
 	g := NewWithT(t)
 	address := newSeed(t, wholePage())
-	page, from, err := Ask(context.Background(), []netip.AddrPort{address})
+	answer, err := Ask(context.Background(), []netip.AddrPort{address}, "")
 	g.Expect(err).NotTo(HaveOccurred())
-	g.Expect(from).To(Equal(address))
+	g.Expect(answer.Seed).To(Equal(address))
+	page := answer.Page
 	g.Expect(page.Position).To(Equal(at(9)))
 	g.Expect(page.Unconfirmed).To(BeTrue())
 	g.Expect(page.Changes).To(HaveLen(4))
@@ -107,16 +108,16 @@
 	for name, address := range bad {
 		t.Run(name, func(t *testing.T) {
 			g := NewWithT(t)
-			_, from, err := Ask(context.Background(), []netip.AddrPort{address, good})
+			answer, err := Ask(context.Background(), []netip.AddrPort{address, good}, "")
 			g.Expect(err).NotTo(HaveOccurred())
-			g.Expect(from).To(Equal(good))
+			g.Expect(answer.Seed).To(Equal(good))
 		})
 	}
 	t.Run("all", func(t *testing.T) {
 		g := NewWithT(t)
-		_, _, err := Ask(context.Background(), []netip.AddrPort{gone, newSeed(t, nil)})
+		_, err := Ask(context.Background(), []netip.AddrPort{gone, newSeed(t, nil)}, "")
 		g.Expect(err).To(HaveOccurred())
-		_, _, err = Ask(context.Background(), nil)
+		_, err = Ask(context.Background(), nil, "")
 		g.Expect(err).To(MatchError(errNoSeed))
 	})
 }
@@ -161,21 +162,21 @@
 func TestSeedLimitsItsAnswers(t *testing.T) {
 	g := NewWithT(t)
 	now := time.Unix(1_000_000, 0)
-	s := NewServer(testCatalog{wholePage()}, func() time.Time { return now })
+	s := NewServer(testCatalog{wholePage()}, nil, func() time.Time { return now })
 	statuses := make(map[int]int)
 	for range 430 {
-		_, status := s.page()
+		_, _, status := s.page("")
 		statuses[status]++
 	}
 	g.Expect(statuses).To(Equal(map[int]int{http.StatusOK: maxAnswersPerSecond, http.StatusTooManyRequests: 430 - maxAnswersPerSecond}))
 	now = now.Add(time.Second)
-	_, status := s.page()
+	_, _, status := s.page("")
 	g.Expect(status).To(Equal(http.StatusOK))
 }
 
 func TestSeedServesOnePath(t *testing.T) {
 	g := NewWithT(t)
-	s := NewServer(testCatalog{wholePage()}, time.Now)
+	s := NewServer(testCatalog{wholePage()}, nil, time.Now)
 	for _, r := range []*http.Request{httptest.NewRequest(http.MethodPost, pagePath, nil), httptest.NewRequest(http.MethodGet, "/", nil)} {
 		w := httptest.NewRecorder()
 		s.ServeHTTP(w, r)
