echo: new flows avoid a data centre that leaves all unanswered

Cause: a host never suspects its own data centre as a whole, so it meets the upstreams of one that has failed one after the other, each until two flows to it had no answer. Change: after two packets in a row without an answer of any upstream of a data centre, new flows and copies of SYNs go elsewhere, for a second at a time, until one answers.

--- a/internal/edge/host.go
+++ b/internal/edge/host.go
@@ -227,8 +227,13 @@
 		h.logEvacuation(event)
 		return
 	}
-	line := h.options.Logger.Warn().Str("upstream", event.Upstream).Str("data_centre", event.DataCentre).Dur("age_ms", event.Age)
+	line := h.options.Logger.Warn().Str("data_centre", event.DataCentre).Dur("age_ms", event.Age)
+	if event.Kind != echo.DataCentreSilent {
+		line = line.Str("upstream", event.Upstream)
+	}
 	switch event.Kind {
+	case echo.DataCentreSilent:
+		line = line.Int("flows", event.UnansweredFlows)
 	case echo.Suspected, echo.Cleared:
 		line = line.Stringer("reason", event.Reason).Int("strikes", event.UnansweredFlows).Int("hosts", event.Hosts)
 	case echo.Ejected:
--- a/internal/flow/echo/choose.go
+++ b/internal/flow/echo/choose.go
@@ -15,7 +15,7 @@
 // flow has no other healthy one.
 func (e *Engine) selectUpstream(now time.Time, r *route, avoid *upstream) (*upstream, *pool) {
 	p := e.pools[e.pickService(r)]
-	takesFlow := func(u *upstream) bool { return isHealthy(u) && e.takesFlow(now, r, u) }
+	takesFlow := func(u *upstream) bool { return isHealthy(u) && !e.silent(now, u) && e.takesFlow(now, r, u) }
 	if u := e.chooseFromPool(now, r, p, avoid, takesFlow); u != nil {
 		return u, p
 	}
--- a/internal/flow/echo/engine.go
+++ b/internal/flow/echo/engine.go
@@ -78,6 +78,8 @@
 	lastSweep  time.Time
 	// dataCentres holds the data centres of the upstreams by name.
 	dataCentres map[string]*dataCentreHealth
+	// silentUntil is the latest end of the silence of a data centre.
+	silentUntil time.Time
 	// evacuations holds the evacuated data centres by name.
 	evacuations map[string]evacuation
 	// regions holds the bits of regions by name, and dataCentreRegions those of the data
--- a/internal/flow/echo/event.go
+++ b/internal/flow/echo/event.go
@@ -12,6 +12,8 @@
 const (
 	// Suspected means that an upstream has stopped answering. New flows avoid it.
 	Suspected EventKind = iota + 1
+	// DataCentreSilent means that no upstream of a data centre answers. New flows avoid it.
+	DataCentreSilent
 	// Cleared means that an upstream is no longer suspected.
 	Cleared
 	// Unopened means that no packet followed a flow's SYNs, presumably because they had
@@ -31,6 +33,7 @@
 
 var eventNames = map[EventKind]string{
 	Suspected:         "upstream_suspected",
+	DataCentreSilent:  "data_centre_silent",
 	Cleared:           "upstream_cleared",
 	Unopened:          "flow_unopened",
 	Unanswered:        "request_unanswered",
@@ -42,7 +45,7 @@
 
 // EventKinds returns all kinds of events.
 func EventKinds() []EventKind {
-	return []EventKind{Suspected, Cleared, Unopened, Unanswered, Ejected, Returned, EvacuationInForce, EvacuationEnded}
+	return []EventKind{Suspected, DataCentreSilent, Cleared, Unopened, Unanswered, Ejected, Returned, EvacuationInForce, EvacuationEnded}
 }
 
 // String returns the event's name in logs.
@@ -56,15 +59,17 @@
 	DataCentre string
 	// Reason is set for Suspected, Cleared and Ejected events.
 	Reason Reason
-	// UnansweredFlows is the number of the upstream's flows that have retransmitted
-	// since its last answer. It is set for Suspected events.
+	// UnansweredFlows is the number of flows of the upstream, or the data centre, that have
+	// retransmitted since its last answer. It is set for Suspected and DataCentreSilent
+	// events.
 	UnansweredFlows int
 	// Hosts is the number of hosts with evidence against a suspected or ejected upstream.
 	Hosts int
 	// Answers and FailedAnswers are the numbers of recent answers of an ejected upstream
 	// to all hosts, as far as they are known, and of those that looked failed.
 	Answers, FailedAnswers float64
-	// Age depends on the kind: the time since the suspected upstream last answered,
+	// Age depends on the kind: the time since the suspected upstream or the silent data
+	// centre last answered,
 	// the time for which the cleared or returned upstream was suspected or ejected, the
 	// time for which the ejected one will be, the time for which the evacuation was in
 	// force here, or the time since the first SYN or the request.
--- a/internal/flow/echo/mechanism.go
+++ b/internal/flow/echo/mechanism.go
@@ -24,6 +24,8 @@
 	Suspicion
 	// DataCentreSuspicion suspects all upstreams of a silent data centre.
 	DataCentreSuspicion
+	// DataCentreSilence keeps new flows from a data centre that leaves all unanswered.
+	DataCentreSilence
 	// HoldDown keeps probes from clearing an upstream that falls silent again and again.
 	HoldDown
 	// UnreachableReset resets repeatable requests at suspected upstreams.
@@ -55,7 +57,7 @@
 
 var mechanismNames = [mechanismCount]string{
 	AdmissionQueue: "admission-queue", OverloadRefusal: "overload-refusal", DeadlineRefusal: "deadline-refusal", WarmupWeight: "warmup-weight",
-	RemotePenalty: "remote-penalty", Suspicion: "suspicion", DataCentreSuspicion: "data-centre-suspicion", HoldDown: "hold-down",
+	RemotePenalty: "remote-penalty", Suspicion: "suspicion", DataCentreSuspicion: "data-centre-suspicion", DataCentreSilence: "data-centre-silence", HoldDown: "hold-down",
 	UnreachableReset: "unreachable-reset", PauseGrace: "pause-grace", FailedCost: "failed-cost", Ejection: "ejection",
 	OverdueRequests: "overdue-requests", SharedEvidence: "shared-evidence", RecentRequests: "recent-requests", IdleReset: "idle-reset",
 	SpeedWeight: "speed-weight", WarmupBudget: "warmup-budget", FairQueueing: "fair-queueing",
--- a/internal/flow/echo/suspicion.go
+++ b/internal/flow/echo/suspicion.go
@@ -68,6 +68,7 @@
 type dataCentreHealth struct {
 	// lastAnswer is when any upstream there last answered a flow of this host.
 	lastAnswer time.Time
+	silence    dataCentreSilence
 }
 
 // recordRetransmission counts the flow as unanswered by its upstream because of a
@@ -77,7 +78,11 @@
 // likely cause.
 func (e *Engine) recordRetransmission(now time.Time, rec *flowRecord, sent time.Time) {
 	u := rec.upstream
-	if e.options.Without.Has(Suspicion) || now.Sub(sent) < minRetransmitDelay || now.Before(e.ignoreRetransmissionsUntil) || u.lastAnswer.After(sent) || !e.lastAnswer.After(sent) {
+	if e.options.Without.Has(Suspicion) || now.Sub(sent) < minRetransmitDelay || now.Before(e.ignoreRetransmissionsUntil) || u.lastAnswer.After(sent) {
+		return
+	}
+	e.recordSilence(now, u, sent)
+	if !e.lastAnswer.After(sent) {
 		return
 	}
 	if rec.countedSeries == u.strikeSeries+1 {
@@ -149,7 +154,7 @@
 	u.holdDown = 0
 	u.strikeSeries++
 	if health := e.dataCentres[u.DataCentre]; health != nil {
-		health.lastAnswer = now
+		health.lastAnswer, health.silence = now, dataCentreSilence{}
 	}
 	e.clearSuspicion(now, u, Answered)
 }
