--- a/internal/experiment/options.go
+++ b/internal/experiment/options.go
@@ -67,6 +67,8 @@
 	case o.DataCentres < 1 || o.DataCentres > maxDataCentres || o.HostsPerDataCentre < 1 || o.HostsPerDataCentre > maxPerDataCentre || o.UpstreamsPerDataCentre < 1 || o.UpstreamsPerDataCentre > maxPerDataCentre:
 		return fmt.Errorf("%d data centres with %d hosts and %d upstreams each: use 1 to %d data centres, and 1 to %d hosts and upstreams in each",
 			o.DataCentres, o.HostsPerDataCentre, o.UpstreamsPerDataCentre, maxDataCentres, maxPerDataCentre)
+	case o.Slots < 1:
+		return fmt.Errorf("%d slots: an upstream needs at least 1", o.Slots)
 	case !(o.Load > 0 && o.Load <= maxLoad):
 		return fmt.Errorf("load %g: must be greater than 0 and at most %d", o.Load, maxLoad)
 	case o.ShareInterval < minShareInterval:
--- a/internal/experiment/pattern_test.go
+++ b/internal/experiment/pattern_test.go
@@ -95,7 +95,7 @@
 	for _, invalidate := range []func(*Options){
 		func(o *Options) { o.DataCentres = 0 }, func(o *Options) { o.HostsPerDataCentre = 1000 },
 		func(o *Options) { o.Load = 0 }, func(o *Options) { o.Duration = 1 },
-		func(o *Options) { o.ShareInterval = 0 },
+		func(o *Options) { o.ShareInterval = 0 }, func(o *Options) { o.Slots = 0 },
 	} {
 		options := DefaultOptions()
 		invalidate(&options)
