experiment: bound of a run, and causes of missed requests

Cause: the table of a pattern does not show what could have been reached. Change: RunBound records each request, the slot time of each upstream and where hosts and upstreams are dark, and bounds the requests answered in time and at all. A request counts for the cause that took most of its time. Run records nothing.

--- a/internal/experiment/caller.go
+++ b/internal/experiment/caller.go
@@ -49,6 +49,8 @@
 	sentAt  time.Time
 	retries int
 	pending bool
+	// account records the current request. It is nil in a run without a measurement.
+	account *requestAccount
 }
 
 // callerFlow is the caller's end of a flow.
@@ -92,6 +94,7 @@
 	}
 	c.requestID++
 	c.pending, c.sentAt, c.retries = true, sim.now, 0
+	c.account = sim.measurement.startRequest(c)
 	id := c.requestID
 	sim.after(sim.options.Timeout, func() {
 		if c.pending && c.requestID == id {
@@ -191,33 +194,57 @@
 	sim.after(callerDelay, func() {
 		h := sim.selectHost(f.caller.dc, f.source)
 		if h.down {
+			f.unansweredRequest(&s).enter(sim.now, DarkHost)
 			return
 		}
+		f.unansweredRequest(&s).noteContact(sim.now)
 		f.decide(h, &s, arrive)
 	})
 }
 
+// unansweredRequest returns the account of the caller's request if the packet is a copy of its
+// SYN or data, on the caller's current flow, and no upstream has answered an earlier one.
+// Otherwise it returns nil.
+func (f *callerFlow) unansweredRequest(s *echo.Segment) *requestAccount {
+	c := f.caller
+	switch {
+	case f.closed || c.flow != f || !c.pending:
+	case s.SYN && f.upstream == nil, s.Length > 0 && f.accepted < f.sent:
+		return c.account
+	}
+	return nil
+}
+
 // decide lets the host decide on a packet of the flow, and executes the decision.
 func (f *callerFlow) decide(h *hostNode, s *echo.Segment, arrive func(*upstreamNode)) {
 	sim := f.caller.sim
 	d := h.engine.Decide(sim.now, s)
+	if d.Verdict == echo.Hold {
+		f.unansweredRequest(s).enter(sim.now, Held)
+	}
 	if d.Verdict == echo.Hold && d.Reason == echo.Queued {
-		h.waiting[waitingSYN{s.Caller, s.Seq}] = func(d *echo.Decision) { f.execute(h, d, arrive) }
+		h.waiting[waitingSYN{s.Caller, s.Seq}] = func(d *echo.Decision) { f.execute(h, s, d, arrive) }
 	} else if d.Verdict == echo.Hold {
 		h.held = append(h.held, func() { f.decide(h, s, arrive) })
 	} else {
-		f.execute(h, &d, arrive)
+		f.execute(h, s, &d, arrive)
 	}
 	sim.admitWaiting(h)
 }
 
 // execute executes the host's decision on a packet of the flow.
-func (f *callerFlow) execute(h *hostNode, d *echo.Decision, arrive func(*upstreamNode)) {
+func (f *callerFlow) execute(h *hostNode, s *echo.Segment, d *echo.Decision, arrive func(*upstreamNode)) {
 	sim := f.caller.sim
+	account := f.unansweredRequest(s)
 	switch d.Verdict {
 	case echo.Forward:
 		u := sim.byID[d.Upstream]
-		if sim.partitioned(h.dc, u.dc) || h.lossRate > 0 && sim.random.Float64() < h.lossRate {
+		if sim.partitioned(h.dc, u.dc) {
+			account.enter(sim.now, DarkUpstream)
+			return
+		}
+		account.enter(sim.now, Other)
+		if h.lossRate > 0 && sim.random.Float64() < h.lossRate {
 			return
 		}
 		delay := localDelay
@@ -226,8 +253,13 @@
 		}
 		sim.after(delay, func() { arrive(u) })
 	case echo.Reset:
+		account.endAttempt(sim.now, Refused)
 		sim.after(callerDelay, func() { f.handleReset() })
-	case echo.Drop, echo.Hold:
+	case echo.Drop:
+		if account != nil && account.state != Held { // not a copy of a held SYN
+			account.enter(sim.now, Other)
+		}
+	case echo.Hold:
 	}
 }
 
@@ -260,6 +292,11 @@
 		f.close()
 	}
 	if o == rejected || o == errored {
+		cause := Full
+		if o == errored {
+			cause = FailedResponse
+		}
+		c.account.endAttempt(c.sim.now, cause)
 		c.retryOrFinish(o)
 		return
 	}
@@ -319,6 +356,7 @@
 		}
 		return
 	}
+	sim.measurement.finishRequest(c, o)
 	sim.recorder.record(c.sentAt.Sub(runStart), c.dc, o, sim.now.Sub(c.sentAt))
 	factor := sim.loadFactor
 	if sim.demand != nil {
--- a/internal/experiment/pattern.go
+++ b/internal/experiment/pattern.go
@@ -91,7 +91,15 @@
 
 // Run simulates the pattern with hosts that choose upstreams by the policy.
 func Run(p Pattern, policy echo.Policy, options Options) Result {
+	return simulate(p, policy, options, nil).result(p)
+}
+
+// simulate runs a simulation of the pattern. m may be nil.
+func simulate(p Pattern, policy echo.Policy, options Options, m *measurement) *simulation {
 	sim := newSimulation(options, policy)
+	if m != nil {
+		sim.measurement, m.sim = m, sim
+	}
 	sim.startCallers()
 	sim.after(probeInterval, sim.runProbes)
 	if policy == echo.SharedEstimates {
@@ -100,7 +108,12 @@
 	sim.shareEvidence()
 	p.schedule(sim)
 	sim.runEvents()
-	result := sim.recorder.summarize(p.Name, policy.String())
+	return sim
+}
+
+// result returns the result of a simulation that has ended.
+func (sim *simulation) result(p Pattern) Result {
+	result := sim.recorder.summarize(p.Name, sim.policy.String())
 	result.LateSYNs = sim.lateSYNs
 	result.Balance = sim.balance.summarize(sim)
 	for _, h := range sim.hosts {
--- a/internal/experiment/route_moved.go
+++ b/internal/experiment/route_moved.go
@@ -30,8 +30,8 @@
 func (c *configuration) view(sim *simulation) catalog.View {
 	o, shares := &sim.options, []catalog.Share{{Service: c.service, Weight: 1}}
 	current := &catalog.Configuration{Version: c.version, IdleTimeout: 15 * time.Second, Routes: []catalog.Route{
-		{Name: "watch", Address: repeatableAddress, Shares: shares, Repeatable: true, Priority: 2, Objective: o.Objective, Timeout: o.Timeout},
-		{Name: "order", Address: nonRepeatableAddress, Shares: shares, Priority: 1, Objective: o.Objective, Timeout: o.Timeout},
+		{Name: "watch", Address: repeatableAddress, Shares: shares, Repeatable: true, Priority: repeatablePriority, Objective: o.Objective, Timeout: o.Timeout},
+		{Name: "order", Address: nonRepeatableAddress, Shares: shares, Priority: nonRepeatablePriority, Objective: o.Objective, Timeout: o.Timeout},
 	}}
 	position := catalog.Position{Revision: c.version}
 	c.catalog.Apply(sim.now, catalog.Update{Position: position, Changes: []catalog.Change{{Position: position, Configuration: current}}})
--- a/internal/experiment/simulation.go
+++ b/internal/experiment/simulation.go
@@ -63,6 +63,8 @@
 	recorder   *recorder
 	balance    balance
 	configured configuration
+	// measurement is nil, except in runs that a bound is computed for.
+	measurement *measurement
 }
 
 // hostNode is a simulated entry host.
@@ -131,6 +133,7 @@
 			return
 		}
 		sim.balance.advance(sim, at)
+		sim.measurement.advance(at)
 		sim.now = at
 		run()
 	}
@@ -207,9 +210,21 @@
 }
 
 // selectHost returns the host to which routers send the packets of a flow. It uses
-// rendezvous hashing over the hosts in rotation of the caller's data centre, or over all
-// its hosts if fewer than half are in rotation.
+// rendezvous hashing over the candidates of the caller's data centre.
 func (sim *simulation) selectHost(dc int, source netip.AddrPort) *hostNode {
+	var best *hostNode
+	var highest uint64
+	for _, h := range sim.candidates(dc) {
+		if score := hash(uint64(source.Port()), h.name); best == nil || score > highest {
+			best, highest = h, score
+		}
+	}
+	return best
+}
+
+// candidates returns the hosts to which routers may send packets of a data centre's callers:
+// its hosts in rotation, or all its hosts if fewer than half are in rotation.
+func (sim *simulation) candidates(dc int) []*hostNode {
 	var all, inRotation []*hostNode
 	for _, h := range sim.hosts {
 		if h.dc != dc {
@@ -220,18 +235,16 @@
 			inRotation = append(inRotation, h)
 		}
 	}
-	candidates := inRotation
 	if 2*len(inRotation) < len(all) {
-		candidates = all
+		return all
 	}
-	var best *hostNode
-	var highest uint64
-	for _, h := range candidates {
-		if score := hash(uint64(source.Port()), h.name); best == nil || score > highest {
-			best, highest = h, score
-		}
-	}
-	return best
+	return inRotation
+}
+
+// reachesLiveHost reports whether a packet of a caller of the data centre can reach a live
+// host.
+func (sim *simulation) reachesLiveHost(dc int) bool {
+	return slices.ContainsFunc(sim.candidates(dc), func(h *hostNode) bool { return !h.down })
 }
 
 // hash returns a hash of a number and a name, as a score for rendezvous hashing.
--- a/internal/experiment/upstream.go
+++ b/internal/experiment/upstream.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/oatlatch/oatlatch/internal/catalog"
+	"github.com/oatlatch/oatlatch/internal/flow/echo"
 )
 
 // upstreamNode is a simulated upstream that runs requests in slots and queues
@@ -46,6 +47,8 @@
 	flow *callerFlow
 	// number is the number of the request on its flow.
 	number int
+	// account is that of the caller's request, or nil.
+	account *requestAccount
 }
 
 // addUpstream adds an upstream. Hosts see it with their next view.
@@ -87,6 +90,7 @@
 // handleSYN responds to the SYN of a flow.
 func (u *upstreamNode) handleSYN(f *callerFlow) {
 	if u.silent {
+		f.unansweredRequest(&echo.Segment{SYN: true}).enter(u.sim.now, DarkUpstream)
 		return
 	}
 	u.sim.countLateSYN(u)
@@ -96,13 +100,19 @@
 // handleRequest runs or queues a request, or rejects it if the queue is full.
 func (u *upstreamNode) handleRequest(r *request) {
 	sim := u.sim
+	account := r.flow.unansweredRequest(&echo.Segment{Length: 1})
 	if u.silent || sim.random.Float64() < u.dropRate {
+		account.enter(sim.now, DarkUpstream)
 		return
 	}
 	if f := r.flow; f.upstream != u || f.accepted >= r.number {
+		if f.upstream != u {
+			account.enter(sim.now, SYNCopied)
+		}
 		return // a retransmission, or the flow belongs to another upstream
 	}
 	r.flow.accepted = r.number
+	r.account = account
 	if sim.random.Float64() < u.errorRate {
 		sim.after(errorTime+callerDelay, func() { r.flow.handleResponse(r.number, errored) })
 		return
@@ -113,6 +123,7 @@
 			return
 		}
 		u.queue = append(u.queue, r)
+		r.account.enter(sim.now, QueuedAtUpstream)
 		sim.balance.countWaiting(sim, u)
 		return
 	}
@@ -125,13 +136,18 @@
 	sim := u.sim
 	u.running++
 	sim.balance.note(u, u.running-1)
-	serviceTime := time.Duration(float64(sim.logNormal(sim.options.ServiceTime, serviceTimeSigma)) * u.serviceTimeFactor(sim.now))
+	start, factor := sim.now, u.serviceTimeFactor(sim.now)
+	serviceTime := time.Duration(float64(sim.logNormal(sim.options.ServiceTime, serviceTimeSigma)) * factor)
+	r.account.enter(sim.now, Other)
 	sim.after(serviceTime, func() {
 		u.running--
 		sim.balance.note(u, u.running+1)
 		sim.balance.countCompleted(sim, u)
 		if !u.silent && sim.random.Float64() >= u.muteRate {
+			sim.measurement.noteRun(u, start, factor)
 			sim.after(callerDelay, func() { r.flow.handleResponse(r.number, served) })
+		} else {
+			r.account.enter(sim.now, DarkUpstream)
 		}
 		if len(u.queue) > 0 {
 			next := u.queue[0]
@@ -158,6 +174,9 @@
 func (u *upstreamNode) crash() {
 	sim := u.sim
 	u.silent = true
+	for _, r := range u.queue {
+		r.account.enter(sim.now, DarkUpstream)
+	}
 	u.queue = nil
 	sim.after(registrationTTL, func() {
 		u.departed = true
