experiment: name the groups of requests of a bound

Cause: a group of requests had -1 and -2 for callers of all data centres and callers that moved. Change: constants with names; comments. Measured: `experiment bound overloaded-cut` prints the same bytes.

--- a/internal/experiment/capacity.go
+++ b/internal/experiment/capacity.go
@@ -9,9 +9,10 @@
 type capacity [][]float64
 
 // newCapacity returns the capacity for requests that must be answered within the time. It is
-// the requests that the upstreams ran, and those that the slot time left over could have
-// run at the mean service time. An upstream counts if it accepted requests within the time before the bin
-// and sent responses within the time after it, at its highest speed since then.
+// the requests that the upstreams ran, and those that the slot time left over could have run
+// at the mean service time. An upstream counts if it accepted requests within the time before
+// the bin and sent responses within the time after it, at its highest speed while it accepted
+// them.
 func newCapacity(m *measurement, within time.Duration) capacity {
 	reach := m.reach(within)
 	seconds, mean := m.bin.Seconds(), m.sim.options.ServiceTime.Seconds()
--- a/internal/experiment/measurement.go
+++ b/internal/experiment/measurement.go
@@ -69,7 +69,7 @@
 }
 
 // findContact looks for the first copy of a packet that can reach a live host, from the copy
-// with the index on. Which policy is used has no effect on copies up to there.
+// with the index on. Until then, the policy has no effect on the copies.
 func (m *measurement) findContact(c *caller, a *requestAccount, index int) {
 	offset := copyOffset(index)
 	if offset > m.sim.options.Timeout {
--- a/internal/experiment/relaxation.go
+++ b/internal/experiment/relaxation.go
@@ -16,11 +16,19 @@
 // relaxationGroup is a set of requests that can use the same capacity.
 type relaxationGroup struct {
 	epoch int
-	// dc is the data centre, if it is isolated, otherwise -1 for all that are not, or -2 for
-	// callers that have moved, whose requests may use the capacity of all.
+	// dc is the data centre of the callers if it is isolated, otherwise connected or moved.
 	dc int
 }
 
+// Values of relaxationGroup.dc beside indexes of data centres.
+const (
+	// connected stands for all data centres that are not isolated.
+	connected = -1
+	// moved stands for callers that have moved to another data centre before the request ended.
+	// Their requests may use the capacity of all.
+	moved = -2
+)
+
 func newRelaxation(m *measurement, within time.Duration) *relaxation {
 	return &relaxation{m: m, within: within, capacity: newCapacity(m, within), epochs: m.epochs()}
 }
@@ -35,7 +43,7 @@
 	}
 	sum := 0.0
 	for e := range x.epochs {
-		for dc := -2; dc < x.m.sim.options.DataCentres; dc++ {
+		for dc := moved; dc < x.m.sim.options.DataCentres; dc++ {
 			g := relaxationGroup{e, dc}
 			if members := groups[g]; len(members) > 0 {
 				sum += x.mostOfGroup(g, members)
@@ -47,7 +55,7 @@
 
 // groupOf returns the group of a request, by the bin in which it was sent.
 func (x *relaxation) groupOf(a *requestAccount) relaxationGroup {
-	g, bin := relaxationGroup{dc: -1}, x.m.binOf(a.sent)
+	g, bin := relaxationGroup{dc: connected}, x.m.binOf(a.sent)
 	for i := range x.epochs {
 		if x.epochs[i].start <= bin {
 			g.epoch = i
@@ -55,7 +63,7 @@
 	}
 	switch {
 	case a.moved:
-		g.dc = -2
+		g.dc = moved
 	case x.epochs[g.epoch].isolates(a.dc):
 		g.dc = a.dc
 	}
@@ -107,7 +115,7 @@
 // reaches reports whether a request of the group may reach the data centre in the epoch.
 func (x *relaxation) reaches(g relaxationGroup, e, dc int) bool {
 	switch {
-	case g.dc == -2:
+	case g.dc == moved:
 		return true
 	case g.dc >= 0:
 		return !x.epochs[e].separates(g.dc, dc)
