evidence: sums of hosts and of what evacuated data centres still have

Cause: the status of an evacuation is known host by host only; adding it up needs the address of every host. Change: a report has Sums: the number of hosts, and for each request to evacuate a data centre the hosts that have it in force, their open flows and requests without an answer.

--- a/internal/evidence/report.go
+++ b/internal/evidence/report.go
@@ -23,6 +23,9 @@
 	Entries []Entry
 	// Depth is the number of levels of hosts whose evidence the report holds.
 	Depth int
+	// Sums are the numbers of the same hosts. They have a depth of their own, because most
+	// hosts have no evidence.
+	Sums Sums
 }
 
 // timedReport is a report with the time of its arrival.
