evidencerpc: report the sums of evacuations with the evidence

Cause: no host knows on how many others an evacuation is in force. Change: calls and replies carry the sums. A change of the hosts in force ends the wait of a call as new evidence does, at the first host those of its children too; sums that are not renewed are reported when they end. While a host knows of an evacuation, calls wait 0.5 s instead of 4, because sums end after 1 s. Reports of earlier builds have no sums, and a reply without them leaves a host with those of the hosts below it. The test network can delay calls and cut hosts off.

--- a/internal/evidencerpc/exchange.go
+++ b/internal/evidencerpc/exchange.go
@@ -53,6 +53,12 @@
 	// Client returns the client for calls, or nil while hosts cannot call each other.
 	Client func() Client
 	Now    func() time.Time
+	// Evacuations, if set, returns the evacuations that this host has in force, with its own
+	// numbers.
+	Evacuations func() []evidence.EvacuationSum
+	// OnSums, if set, is called at the first host when the sums of all hosts may have
+	// changed, while an evacuation is in force.
+	OnSums func()
 }
 
 // Exchange exchanges evidence with the parent and the children of this host.
@@ -60,14 +66,21 @@
 	options Options
 	// wake receives a value when there is new evidence for the parent.
 	wake chan struct{}
-	// ownOutdated is set when there is new evidence of this host.
-	ownOutdated atomic.Bool
+	// ownOutdated is set when there is new evidence of this host, and ownSumsOutdated when
+	// an evacuation has begun or ended on it.
+	ownOutdated, ownSumsOutdated atomic.Bool
 
 	mu   sync.Mutex
 	node *evidence.Node
 	// own is this host's own evidence at ownAt.
 	own   []evidence.Entry
 	ownAt time.Time
+	// sums are those of this host's children and of all hosts, ownSums its own at ownSumsAt.
+	sums      *evidence.SumsNode
+	ownSums   evidence.Sums
+	ownSumsAt time.Time
+	// expiry runs when sums are the next to end; nil while none is to be waited for.
+	expiry *time.Timer
 	// parents are the hosts to call, the next one after a failure; empty for the first
 	// host. parent is the one in use.
 	parents []catalog.Host
@@ -81,7 +94,9 @@
 
 // New returns an exchange without a parent.
 func New(options Options) *Exchange {
-	return &Exchange{options: options, wake: make(chan struct{}, 1), node: evidence.NewNode(), changed: make(chan struct{})}
+	return &Exchange{
+		options: options, wake: make(chan struct{}, 1), node: evidence.NewNode(), sums: evidence.NewSumsNode(), changed: make(chan struct{}),
+	}
 }
 
 // SetParents replaces the hosts to call: the parent first, and others for when it fails.
@@ -115,6 +130,11 @@
 // Notify makes the exchange report new evidence soon. It never blocks.
 func (x *Exchange) Notify() {
 	x.ownOutdated.Store(true)
+	x.wakeUp()
+}
+
+// wakeUp makes the exchange report soon. It never blocks.
+func (x *Exchange) wakeUp() {
 	select {
 	case x.wake <- struct{}{}:
 	default:
@@ -123,6 +143,7 @@
 
 // Run calls the parent until ctx is cancelled.
 func (x *Exchange) Run(ctx context.Context) error {
+	defer x.stopExpiry()
 	for {
 		x.mu.Lock()
 		parent := x.parent
@@ -130,6 +151,7 @@
 		client := x.options.Client()
 		if parent == nil || client == nil || !x.call(ctx, client, *parent) {
 			x.judge()
+			x.checkSums()
 			x.awaitRetry(ctx)
 		}
 		if wait.Sleep(ctx, callGap) != nil {
@@ -193,7 +215,7 @@
 	defer x.mu.Unlock()
 	report := x.subtreeLocked()
 	args := &ExchangeArgs{Report: report, Version: x.parentVersion, Wait: idleWait}
-	if len(report.Entries) > 0 {
+	if len(report.Entries) > 0 || len(report.Sums.Evacuations) > 0 || len(x.totalSumsLocked(x.options.Now()).Evacuations) > 0 {
 		args.Wait = questionWait
 	}
 	return args
@@ -203,7 +225,10 @@
 func (x *Exchange) merge(parent *catalog.Host, reply *ExchangeReply) {
 	x.mu.Lock()
 	if x.parent != nil && x.parent.Name == parent.Name {
-		x.node.SetTotal(x.options.Now(), reply.Total)
+		now := x.options.Now()
+		x.node.SetTotal(now, reply.Total)
+		x.sums.SetTotal(now, reply.Total.Sums)
+		x.expireSumsLocked(now)
 		if reply.Version != x.parentVersion {
 			x.parentVersion = reply.Version
 			x.received++
@@ -217,14 +242,19 @@
 // addReport merges the report of a child.
 func (x *Exchange) addReport(child string, report evidence.Report) {
 	x.mu.Lock()
-	before := x.node.Version()
-	x.node.AddReport(x.options.Now(), child, report)
+	now, before := x.options.Now(), x.node.Version()
+	x.node.AddReport(now, child, report)
 	news := x.node.Version() != before
 	isRoot := x.parent == nil
 	if news && isRoot {
 		x.announceLocked()
 	}
+	if x.sums.Add(now, child, report.Sums) {
+		x.announceSumsLocked(now)
+	}
+	x.expireSumsLocked(now)
 	x.mu.Unlock()
+	x.checkSums()
 	if news {
 		x.Notify()
 	}
@@ -263,7 +293,9 @@
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	now := x.options.Now()
-	return x.node.Total(now, x.ownLocked(now), x.parentNameLocked()), x.versionLocked()
+	total := x.node.Total(now, x.ownLocked(now), x.parentNameLocked())
+	total.Sums = x.totalSumsLocked(now)
+	return total, x.versionLocked()
 }
 
 // judge passes the evidence of all hosts to the engine.
@@ -277,7 +309,9 @@
 // subtreeLocked returns the report for the parent. x.mu must be held.
 func (x *Exchange) subtreeLocked() evidence.Report {
 	now := x.options.Now()
-	return x.node.Subtree(now, x.ownLocked(now), x.parentNameLocked())
+	report := x.node.Subtree(now, x.ownLocked(now), x.parentNameLocked())
+	report.Sums = x.sums.Subtree(now, x.ownSumsLocked(now), x.parentNameLocked())
+	return report
 }
 
 // ownLocked returns this host's own evidence. x.mu must be held.
--- a/internal/evidencerpc/exchange_test.go
+++ b/internal/evidencerpc/exchange_test.go
@@ -24,6 +24,14 @@
 	// silentHosts is the largest number of hosts with such flows that the engine has been
 	// told of.
 	silentHosts int
+	// inForce are the evacuations that the host has in force.
+	inForce []evidence.EvacuationSum
+}
+
+func (e *testEngine) evacuations() []evidence.EvacuationSum {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.inForce
 }
 
 func (e *testEngine) Evidence(time.Time, map[catalog.UpstreamID]struct{}) []evidence.Entry {
@@ -62,7 +70,11 @@
 	hosts []*testHost
 	mu    sync.Mutex
 	down  map[int]bool
-	calls int
+	// cutOff are hosts that no call reaches or leaves, and delay is the time that a call
+	// and its reply take each.
+	cutOff map[host.ID]bool
+	delay  time.Duration
+	calls  int
 }
 
 // caller makes the calls of one host.
@@ -75,14 +87,32 @@
 	n := c.network
 	n.mu.Lock()
 	n.calls++
-	down := n.down[int(to.Port())]
+	down, delay := n.down[int(to.Port())], n.delay
 	n.mu.Unlock()
+	// transfer passes a message on, unless one of the hosts is cut off.
+	transfer := func() error {
+		time.Sleep(delay)
+		n.mu.Lock()
+		cutOff := n.cutOff[c.name] || n.cutOff[host.ID(fmt.Sprint(to.Port()))]
+		n.mu.Unlock()
+		if cutOff {
+			<-ctx.Done()
+			return ctx.Err()
+		}
+		return nil
+	}
+	if err := transfer(); err != nil {
+		return err
+	}
 	if down {
 		return errors.New("the host is down")
 	}
 	call := *args.(*ExchangeArgs)
 	call.SetContext(ctx)
-	return NewService(n.hosts[to.Port()].exchange, c.name).Exchange(&call, reply.(*ExchangeReply))
+	if err := NewService(n.hosts[to.Port()].exchange, c.name).Exchange(&call, reply.(*ExchangeReply)); err != nil {
+		return err
+	}
+	return transfer()
 }
 
 // newNetwork runs hosts of which the first is the root, the next two are its children, and
@@ -97,7 +127,7 @@
 	for i := range hosts {
 		h := &testHost{engine: &testEngine{}, index: i}
 		client := caller{n, host.ID(fmt.Sprint(i))}
-		h.exchange = New(Options{Engine: h.engine, Client: func() Client { return client }, Now: time.Now})
+		h.exchange = New(Options{Engine: h.engine, Client: func() Client { return client }, Now: time.Now, Evacuations: h.engine.evacuations})
 		switch {
 		case i == 0:
 		case i < 3:
