echo: count all evacuated data centres in one pass

Cause: Evacuations visits all upstreams once for each evacuated data centre while packets wait; the sums of hosts need it up to four times a second. Change: one pass, and none while nothing is evacuated. The tests of evacuations pass unchanged.

--- a/internal/flow/echo/evacuation.go
+++ b/internal/flow/echo/evacuation.go
@@ -64,25 +64,40 @@
 func (e *Engine) evacuationStatus(of *evacuation) EvacuationStatus {
 	s := EvacuationStatus{DataCentre: of.DataCentre, Position: of.Position, Since: of.Since}
 	for _, u := range e.upstreams {
-		if u.DataCentre != of.DataCentre {
-			continue
+		if u.DataCentre == of.DataCentre {
+			s.add(u)
 		}
-		if u.active() {
-			s.Upstreams++
-		}
-		s.OpenFlows += u.openFlows
-		s.Outstanding += u.outstanding
 	}
 	return s
 }
 
-// Evacuations returns the evacuated data centres, in no particular order.
+// add counts an upstream of the data centre.
+func (s *EvacuationStatus) add(u *upstream) {
+	if u.active() {
+		s.Upstreams++
+	}
+	s.OpenFlows += u.openFlows
+	s.Outstanding += u.outstanding
+}
+
+// Evacuations returns the evacuated data centres, in no particular order. It visits each
+// upstream once, however many are evacuated, because packets wait meanwhile.
 func (e *Engine) Evacuations() []EvacuationStatus {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	all := make([]EvacuationStatus, 0, len(e.evacuations))
-	for _, evacuated := range e.evacuations {
-		all = append(all, e.evacuationStatus(&evacuated))
+	if len(e.evacuations) == 0 {
+		return all
+	}
+	indices := make(map[string]int, len(e.evacuations))
+	for name, evacuated := range e.evacuations {
+		indices[name] = len(all)
+		all = append(all, EvacuationStatus{DataCentre: name, Position: evacuated.Position, Since: evacuated.Since})
+	}
+	for _, u := range e.upstreams {
+		if i, evacuated := indices[u.DataCentre]; evacuated {
+			all[i].add(u)
+		}
 	}
 	return all
 }
