edge: status and log line of an evacuation on all hosts

Cause: `oatlatch status` tells of the named hosts only, so an operator had to ask every host whether an evacuation is in force, and add up what is still open. Change: each evacuation of a host's status has hosts_in_force, hosts_counted, hosts_known, open_flows_total and outstanding_total; `oatlatch status` prints them in a row. TestStatusOfAHostThatASeedHasStarted expects the new fields as well.

--- a/cmd/oatlatch/print_edge_status.go
+++ b/cmd/oatlatch/print_edge_status.go
@@ -29,6 +29,8 @@
 	for _, e := range s.Evacuations {
 		row("evacuated\t%s\t%s\trevision %d of epoch %d\tupstreams %d\topen flows %d\toutstanding %d",
 			e.DataCentre, since(s.Now, e.Since), e.Revision, e.Epoch, e.Upstreams, e.OpenFlows, e.Outstanding)
+		row("  all hosts\tin force on %d\tcounted %d of %d known\topen flows %d\toutstanding %d",
+			e.HostsInForce, e.HostsCounted, e.HostsKnown, e.OpenFlowsTotal, e.OutstandingTotal)
 	}
 	n := &s.UpstreamCounts
 	row("upstreams\tusable %d\tdraining %d\tdeparted %d\tevacuated %d\tsuspected %d\tejected %d\tcold %d",
--- a/cmd/oatlatch/status_test.go
+++ b/cmd/oatlatch/status_test.go
@@ -79,6 +79,10 @@
 		g.Expect(code).To(BeZero())
 		g.Expect(json.Unmarshal([]byte(out), &status)).To(Succeed())
 		g.Expect(status.Evacuations).To(HaveLen(1))
+		g.Expect(status.Evacuations[0].HostsKnown).To(Equal(1))
+		for _, field := range []string{`"hosts_in_force":1,`, `"hosts_counted":1,`, `"hosts_known":1,`, `"open_flows_total":0,`, `"outstanding_total":0}`} {
+			g.Expect(out).To(ContainSubstring(field))
+		}
 	}, 20*time.Second).Should(Succeed())
 	g.Expect([]any{status.Kind, status.Host, status.DataCentre, status.Ready, status.ConfigurationVersion}).To(Equal([]any{edge.StatusKind, "quay-1", "quay", true, uint64(7)}))
 	g.Expect(status.Knowledge.Source).To(Equal("store"))
@@ -93,7 +97,7 @@
 	fields := strings.Join(strings.Fields(out), " ")
 	for _, want := range []string{
 		"host quay-1 in quay ready", "configuration version 7", "from store revision", "evacuated bay since",
-		"upstreams 2 open flows 0 outstanding 0", "upstreams usable 1 draining 1 departed 0 evacuated 2 suspected 0 ejected 0 cold 1",
+		"upstreams 2 open flows 0 outstanding 0", "all hosts in force on 1 counted 1 of 1 known open flows 0 outstanding 0", "upstreams usable 1 draining 1 departed 0 evacuated 2 suspected 0 ejected 0 cold 1",
 		"i-00000001 desk quay open flows 0 outstanding 0 draining", "i-00000002 desk quay open flows 0 outstanding 0 cold for",
 	} {
 		g.Expect(fields).To(ContainSubstring(want))
--- a/cmd/oatlatchd/evacuation_test.go
+++ b/cmd/oatlatchd/evacuation_test.go
@@ -15,7 +15,8 @@
 
 // TestEvacuationIsInForceOnAllHosts runs two hosts, of which one reads the other, and a
 // third that starts while the evacuation is in force. It guards against a request, or its
-// removal, that does not reach the engine of a host.
+// removal, that does not reach the engine of a host, and against a first host that does not
+// learn that all others have it.
 func TestEvacuationIsInForceOnAllHosts(t *testing.T) {
 	store, err := standin.NewStore()
 	if err != nil {
@@ -55,6 +56,21 @@
 			t.Errorf("%s does not count the upstream in the data centre", host)
 		}
 	}
+	for deadline := time.Now().Add(awaitLimit); ; time.Sleep(50 * time.Millisecond) {
+		lines := 0
+		for _, host := range hosts {
+			if line, _ := log.find(host, "evacuation_in_force_everywhere", "hosts", "2"); line != nil {
+				lines++
+				t.Logf("in force everywhere: age_ms=%s", line.Get("age_ms"))
+			}
+		}
+		if lines == 1 {
+			break
+		}
+		if time.Now().After(deadline) {
+			t.Fatalf("%d hosts say that it is in force everywhere, want the first one", lines)
+		}
+	}
 	hosts = append(hosts, "h-3")
 	startHost(t, daemon, "h-3", store.Address(), log, "", "")
 	log.await(t, hosts, "evacuation_in_force", "data_centre", "b")
--- a/internal/edge/host.go
+++ b/internal/edge/host.go
@@ -43,6 +43,7 @@
 	prober          *prober
 	peers           *peers
 	exchange        *evidencerpc.Exchange
+	progress        evacuationProgress
 	seeding         *seeding
 	snapshots       *snapshotPublisher
 	warmup          *warmupRunner
@@ -88,7 +89,9 @@
 	}
 	options.Store.OnSkippedRecord(skippedRecords.add)
 	h.peers = newPeers(options, h.registry)
-	h.exchange = evidencerpc.New(evidencerpc.Options{Engine: h.engine, Client: h.peers.evidenceClient, Now: options.Now})
+	h.exchange = evidencerpc.New(evidencerpc.Options{
+		Engine: h.engine, Client: h.peers.evidenceClient, Now: options.Now, Evacuations: h.evacuationSums, OnSums: h.logEvacuationEverywhere,
+	})
 	h.peers.exchange = h.exchange
 	h.snapshots = &snapshotPublisher{
 		store: options.Snapshots, schedule: snapshot.NewSchedule(s.Store.History / refreshesPerHistory), lease: h.peers.lease,
@@ -194,6 +197,7 @@
 	}
 	h.peers.setView(&view)
 	self := &h.options.Settings.Host
+	h.progress.setView(&view, self.ID)
 	h.exchange.SetParents(feed.Parents(view.Hosts, self.ID, self.DataCentre))
 	h.snapshots.setView(&view, h.options.Settings.Host.DataCentre)
 }
@@ -217,6 +221,7 @@
 	}
 	if event.Kind == echo.EvacuationInForce || event.Kind == echo.EvacuationEnded {
 		h.logEvacuation(event)
+		h.exchange.NotifyEvacuation()
 		return
 	}
 	line := h.options.Logger.Warn().Str("upstream", event.Upstream).Str("data_centre", event.DataCentre).Dur("age_ms", event.Age)
--- a/internal/edge/status.go
+++ b/internal/edge/status.go
@@ -17,7 +17,8 @@
 	SourceSeed = "seed"
 )
 
-// Status is the state of a host as JSON. Flows and requests are those of this host.
+// Status is the state of a host as JSON. Flows and requests are those of this host, but for
+// the totals of EvacuationStatus.
 type Status struct {
 	Kind       string `json:"kind"`
 	Host       string `json:"host"`
@@ -65,6 +66,15 @@
 	Upstreams   int `json:"upstreams"`
 	OpenFlows   int `json:"open_flows"`
 	Outstanding int `json:"outstanding"`
+	// HostsInForce is the number of hosts that have this request in force, of HostsCounted
+	// whose reports have arrived lately, of HostsKnown in the catalog. It may be 0 for a
+	// moment after this host has put the request in force.
+	HostsInForce int `json:"hosts_in_force"`
+	HostsCounted int `json:"hosts_counted"`
+	HostsKnown   int `json:"hosts_known"`
+	// OpenFlowsTotal and OutstandingTotal are those of the hosts in force together.
+	OpenFlowsTotal   int `json:"open_flows_total"`
+	OutstandingTotal int `json:"outstanding_total"`
 }
 
 // UpstreamCounts are numbers of upstreams by state. Suspected, ejected and cold ones also
--- a/internal/edge/status_handler.go
+++ b/internal/edge/status_handler.go
@@ -43,10 +43,14 @@
 			Evacuated: stats.Evacuated, Suspected: stats.Suspected, Ejected: stats.Ejected,
 		},
 	}
+	sums, _ := h.exchange.Sums()
 	for _, e := range h.engine.Evacuations() {
+		total := sums.Evacuation(e.DataCentre, e.Position)
 		s.Evacuations = append(s.Evacuations, EvacuationStatus{
 			DataCentre: e.DataCentre, Since: e.Since, Epoch: e.Position.Epoch, Revision: e.Position.Revision,
 			Upstreams: e.Upstreams, OpenFlows: e.OpenFlows, Outstanding: e.Outstanding,
+			HostsInForce: total.Hosts, HostsCounted: sums.Hosts, HostsKnown: h.progress.knownHosts(),
+			OpenFlowsTotal: total.OpenFlows, OutstandingTotal: total.Outstanding,
 		})
 	}
 	slices.SortFunc(s.Evacuations, func(a, b EvacuationStatus) int { return cmp.Compare(a.DataCentre, b.DataCentre) })
--- a/internal/edge/status_test.go
+++ b/internal/edge/status_test.go
@@ -52,8 +52,9 @@
 	g.Expect(got.ConfigurationVersion).To(Equal(uint64(7)))
 	g.Expect(got.Knowledge.Source).To(Equal(SourceSeed))
 	g.Expect(got.Evacuations).To(Equal([]EvacuationStatus{
-		{DataCentre: "bay", Since: now}, {DataCentre: "quay", Since: now, Epoch: 2, Revision: 72, Upstreams: 1, Outstanding: 1},
-	}))
+		{DataCentre: "bay", Since: now, HostsInForce: 1, HostsCounted: 1},
+		{DataCentre: "quay", Since: now, Epoch: 2, Revision: 72, Upstreams: 1, Outstanding: 1, HostsInForce: 1, HostsCounted: 1, OutstandingTotal: 1},
+	}), "it knows no other host, nor itself, from the store")
 	g.Expect(got.UpstreamCounts).To(Equal(UpstreamCounts{Evacuated: 1, Cold: 1}))
 	g.Expect(got.Upstreams).To(HaveLen(1))
 	g.Expect(got.Upstreams[0].ColdMillis).To(Equal(int64(1000)))
