edge: list evacuations that only other hosts have in force

Cause: a host that has missed a request, or has a later one, said nothing of how many others have it in force. Change: the status has evacuations_elsewhere, by the sums, with the same totals, and `oatlatch status` prints them as `not in force`. Measured: nothing beyond the tests, which pass.

--- a/cmd/oatlatch/print_edge_status.go
+++ b/cmd/oatlatch/print_edge_status.go
@@ -29,8 +29,11 @@
 	for _, e := range s.Evacuations {
 		row("evacuated\t%s\t%s\trevision %d of epoch %d\tupstreams %d\topen flows %d\toutstanding %d",
 			e.DataCentre, since(s.Now, e.Since), e.Revision, e.Epoch, e.Upstreams, e.OpenFlows, e.Outstanding)
-		row("  all hosts\tin force on %d\tcounted %d of %d known\topen flows %d\toutstanding %d",
-			e.HostsInForce, e.HostsCounted, e.HostsKnown, e.OpenFlowsTotal, e.OutstandingTotal)
+		printEvacuationTotals(row, &e.EvacuationTotals)
+	}
+	for _, e := range s.EvacuationsElsewhere {
+		row("not in force\t%s\ton this host\trevision %d of epoch %d", e.DataCentre, e.Revision, e.Epoch)
+		printEvacuationTotals(row, &e.EvacuationTotals)
 	}
 	n := &s.UpstreamCounts
 	row("upstreams\tusable %d\tdraining %d\tdeparted %d\tevacuated %d\tsuspected %d\tejected %d\tcold %d",
@@ -45,6 +48,12 @@
 	return table.Flush()
 }
 
+// printEvacuationTotals prints the numbers of all hosts.
+func printEvacuationTotals(row printRow, t *edge.EvacuationTotals) {
+	row("  all hosts\tin force on %d\tcounted %d of %d known\topen flows %d\toutstanding %d",
+		t.HostsInForce, t.HostsCounted, t.HostsKnown, t.OpenFlowsTotal, t.OutstandingTotal)
+}
+
 // edgeReadiness returns whether the host is ready, in words.
 func edgeReadiness(s *edge.Status) string {
 	switch {
--- a/cmd/oatlatch/status_test.go
+++ b/cmd/oatlatch/status_test.go
@@ -107,6 +107,17 @@
 	g.Expect(code).To(Equal(statusFailed))
 }
 
+// Guards against a host that says nothing of an evacuation that it has missed.
+func TestTextOfEvacuationElsewhere(t *testing.T) {
+	var out strings.Builder
+	s := edge.Status{EvacuationsElsewhere: []edge.EvacuationElsewhere{{DataCentre: "bay", Revision: 7, EvacuationTotals: edge.EvacuationTotals{
+		HostsInForce: 428, HostsCounted: 429, HostsKnown: 430, OpenFlowsTotal: 12, OutstandingTotal: 3,
+	}}}}
+	NewWithT(t).Expect(printEdgeStatus(&out, &s)).To(Succeed())
+	NewWithT(t).Expect(strings.Join(strings.Fields(out.String()), " ")).To(ContainSubstring(
+		"not in force bay on this host revision 7 of epoch 0 all hosts in force on 428 counted 429 of 430 known open flows 12 outstanding 3"))
+}
+
 // Guards against a state or its reason that is missing from the text.
 func TestTextOfUpstreamStates(t *testing.T) {
 	now := time.Unix(1_000_000, 0)
--- a/internal/edge/status.go
+++ b/internal/edge/status.go
@@ -33,9 +33,10 @@
 	Knowledge            KnowledgeStatus `json:"knowledge"`
 	Flows                int             `json:"flows"`
 	WaitingFlows         int             `json:"waiting_flows"`
-	// Evacuations are sorted by data centre.
-	Evacuations    []EvacuationStatus `json:"evacuations"`
-	UpstreamCounts UpstreamCounts     `json:"upstream_counts"`
+	// Evacuations are those in force on this host, sorted by data centre.
+	Evacuations          []EvacuationStatus    `json:"evacuations"`
+	EvacuationsElsewhere []EvacuationElsewhere `json:"evacuations_elsewhere"`
+	UpstreamCounts       UpstreamCounts        `json:"upstream_counts"`
 	// Upstreams are those that are cold, draining, suspected or ejected: first the ejected
 	// and suspected ones, then the draining and the cold ones, each sorted by name.
 	Upstreams []UpstreamStatus `json:"upstreams"`
@@ -66,7 +67,21 @@
 	Upstreams   int `json:"upstreams"`
 	OpenFlows   int `json:"open_flows"`
 	Outstanding int `json:"outstanding"`
-	// HostsInForce is the number of hosts that have this request in force, of HostsCounted
+	EvacuationTotals
+}
+
+// EvacuationElsewhere is a request to evacuate a data centre that other hosts have in force
+// and this one has not.
+type EvacuationElsewhere struct {
+	DataCentre string `json:"data_centre"`
+	Epoch      uint64 `json:"epoch"`
+	Revision   uint64 `json:"revision"`
+	EvacuationTotals
+}
+
+// EvacuationTotals are the numbers of all hosts.
+type EvacuationTotals struct {
+	// HostsInForce is the number of hosts that have the request in force, of HostsCounted
 	// whose reports have arrived lately, of HostsKnown in the catalog. It may be 0 for a
 	// moment after this host has put the request in force.
 	HostsInForce int `json:"hosts_in_force"`
--- a/internal/edge/status_handler.go
+++ b/internal/edge/status_handler.go
@@ -8,6 +8,7 @@
 	"slices"
 	"time"
 
+	"github.com/oatlatch/oatlatch/internal/evidence"
 	"github.com/oatlatch/oatlatch/internal/flow/echo"
 )
 
@@ -37,22 +38,36 @@
 		Kind: StatusKind, Host: self.ID, DataCentre: self.DataCentre, Now: now, Started: h.options.Started,
 		Ready: h.serving.Load() && !h.stopping.Load(), Stopping: h.stopping.Load(),
 		ConfigurationVersion: stats.Version, Flows: stats.Flows, WaitingFlows: h.engine.WaitingFlows(),
-		Knowledge: h.knowledge(now), Evacuations: []EvacuationStatus{}, Upstreams: []UpstreamStatus{},
+		Knowledge: h.knowledge(now), Evacuations: []EvacuationStatus{}, EvacuationsElsewhere: []EvacuationElsewhere{}, Upstreams: []UpstreamStatus{},
 		UpstreamCounts: UpstreamCounts{
 			Usable: stats.Usable, Draining: stats.Draining, Departed: stats.Departed,
 			Evacuated: stats.Evacuated, Suspected: stats.Suspected, Ejected: stats.Ejected,
 		},
 	}
 	sums, _ := h.exchange.Sums()
+	totals := func(e *evidence.EvacuationSum) EvacuationTotals {
+		return EvacuationTotals{
+			HostsInForce: e.Hosts, HostsCounted: sums.Hosts, HostsKnown: h.progress.knownHosts(), OpenFlowsTotal: e.OpenFlows, OutstandingTotal: e.Outstanding,
+		}
+	}
+	own := make(map[evacuationRequest]bool)
 	for _, e := range h.engine.Evacuations() {
+		own[evacuationRequest{e.DataCentre, e.Position}] = true
 		total := sums.Evacuation(e.DataCentre, e.Position)
 		s.Evacuations = append(s.Evacuations, EvacuationStatus{
 			DataCentre: e.DataCentre, Since: e.Since, Epoch: e.Position.Epoch, Revision: e.Position.Revision,
 			Upstreams: e.Upstreams, OpenFlows: e.OpenFlows, Outstanding: e.Outstanding,
-			HostsInForce: total.Hosts, HostsCounted: sums.Hosts, HostsKnown: h.progress.knownHosts(),
-			OpenFlowsTotal: total.OpenFlows, OutstandingTotal: total.Outstanding,
+			EvacuationTotals: totals(&total),
 		})
 	}
+	for i := range sums.Evacuations {
+		e := &sums.Evacuations[i]
+		if !own[evacuationRequest{e.DataCentre, e.Position}] {
+			s.EvacuationsElsewhere = append(s.EvacuationsElsewhere, EvacuationElsewhere{
+				DataCentre: e.DataCentre, Epoch: e.Position.Epoch, Revision: e.Position.Revision, EvacuationTotals: totals(e),
+			})
+		}
+	}
 	slices.SortFunc(s.Evacuations, func(a, b EvacuationStatus) int { return cmp.Compare(a.DataCentre, b.DataCentre) })
 	for _, u := range h.engine.UnusualUpstreams(now) {
 		if !u.ColdUntil.IsZero() {
--- a/internal/edge/status_test.go
+++ b/internal/edge/status_test.go
@@ -10,6 +10,8 @@
 	"github.com/rs/zerolog"
 
 	"github.com/oatlatch/oatlatch/internal/catalog"
+	"github.com/oatlatch/oatlatch/internal/evidence"
+	"github.com/oatlatch/oatlatch/internal/evidencerpc"
 	"github.com/oatlatch/oatlatch/internal/flow/echo"
 	"github.com/oatlatch/oatlatch/internal/settings"
 	"github.com/oatlatch/oatlatch/platform"
@@ -52,9 +54,17 @@
 	g.Expect(got.ConfigurationVersion).To(Equal(uint64(7)))
 	g.Expect(got.Knowledge.Source).To(Equal(SourceSeed))
 	g.Expect(got.Evacuations).To(Equal([]EvacuationStatus{
-		{DataCentre: "bay", Since: now, HostsInForce: 1, HostsCounted: 1},
-		{DataCentre: "quay", Since: now, Epoch: 2, Revision: 72, Upstreams: 1, Outstanding: 1, HostsInForce: 1, HostsCounted: 1, OutstandingTotal: 1},
+		{DataCentre: "bay", Since: now, EvacuationTotals: EvacuationTotals{HostsInForce: 1, HostsCounted: 1}},
+		{DataCentre: "quay", Since: now, Epoch: 2, Revision: 72, Upstreams: 1, Outstanding: 1, EvacuationTotals: EvacuationTotals{HostsInForce: 1, HostsCounted: 1, OutstandingTotal: 1}},
 	}), "it knows no other host, nor itself, from the store")
+	g.Expect(got.EvacuationsElsewhere).NotTo(BeNil(), "scripts read a list")
+	var reply evidencerpc.ExchangeReply
+	earlier := evidence.EvacuationSum{DataCentre: "quay", Position: catalog.Position{Epoch: 2, Revision: 70}, OpenFlows: 3}
+	args := evidencerpc.ExchangeArgs{Report: evidence.Report{Depth: 1, Sums: evidence.NewSums([]evidence.EvacuationSum{earlier})}}
+	g.Expect(evidencerpc.NewService(h.exchange, "quay-2").Exchange(&args, &reply)).To(Succeed())
+	g.Expect(h.status(now).EvacuationsElsewhere).To(Equal([]EvacuationElsewhere{
+		{DataCentre: "quay", Epoch: 2, Revision: 70, EvacuationTotals: EvacuationTotals{HostsInForce: 1, HostsCounted: 2, OpenFlowsTotal: 3}},
+	}), "another host that has an earlier request in force")
 	g.Expect(got.UpstreamCounts).To(Equal(UpstreamCounts{Evacuated: 1, Cold: 1}))
 	g.Expect(got.Upstreams).To(HaveLen(1))
 	g.Expect(got.Upstreams[0].ColdMillis).To(Equal(int64(1000)))
