--- a/cmd/oatlatch/status_test.go
+++ b/cmd/oatlatch/status_test.go
@@ -79,10 +79,7 @@
 		g.Expect(code).To(BeZero())
 		g.Expect(json.Unmarshal([]byte(out), &status)).To(Succeed())
 		g.Expect(status.Evacuations).To(HaveLen(1))
-		g.Expect(status.Evacuations[0].HostsKnown).To(Equal(1))
-		for _, field := range []string{`"hosts_in_force":1,`, `"hosts_counted":1,`, `"hosts_known":1,`, `"open_flows_total":0,`, `"outstanding_total":0}`} {
-			g.Expect(out).To(ContainSubstring(field))
-		}
+		g.Expect(out).To(ContainSubstring(`"hosts_in_force":1,"hosts_counted":1,"hosts_known":1,"open_flows_total":0,"outstanding_total":0}`))
 	}, 20*time.Second).Should(Succeed())
 	g.Expect([]any{status.Kind, status.Host, status.DataCentre, status.Ready, status.ConfigurationVersion}).To(Equal([]any{edge.StatusKind, "quay-1", "quay", true, uint64(7)}))
 	g.Expect(status.Knowledge.Source).To(Equal("store"))
--- a/cmd/oatlatchd/evacuation_test.go
+++ b/cmd/oatlatchd/evacuation_test.go
@@ -56,19 +56,13 @@
 			t.Errorf("%s does not count the upstream in the data centre", host)
 		}
 	}
-	for deadline := time.Now().Add(awaitLimit); ; time.Sleep(50 * time.Millisecond) {
-		lines := 0
-		for _, host := range hosts {
-			if line, _ := log.find(host, "evacuation_in_force_everywhere", "hosts", "2"); line != nil {
-				lines++
-				t.Logf("in force everywhere: age_ms=%s", line.Get("age_ms"))
-			}
-		}
-		if lines == 1 {
-			break
-		}
+	everywhere := func(host string) bool {
+		line, _ := log.find(host, "evacuation_in_force_everywhere", "hosts", "2")
+		return line != nil
+	}
+	for deadline := time.Now().Add(awaitLimit); everywhere("h-1") == everywhere("h-2"); time.Sleep(50 * time.Millisecond) {
 		if time.Now().After(deadline) {
-			t.Fatalf("%d hosts say that it is in force everywhere, want the first one", lines)
+			t.Fatal("no host, or each, says that it is in force everywhere; want the first one")
 		}
 	}
 	hosts = append(hosts, "h-3")
--- a/internal/edge/evacuation_progress_test.go
+++ b/internal/edge/evacuation_progress_test.go
@@ -17,30 +17,25 @@
 	type step struct {
 		after                   time.Duration
 		known, counted, inForce int
-		logged                  bool
+		completed               int
 	}
-	for name, test := range map[string]struct {
-		self  string
-		steps []step
+	all, twice := []step{{0, 3, 3, 2, 0}, {time.Second, 3, 3, 3, 0}, {evidence.ReportTTL, 3, 3, 3, 1}, {time.Minute, 3, 3, 3, 0}, {0, 3, 2, 2, 0}, {0, 3, 3, 3, 0}, {time.Minute, 3, 3, 3, 0}}, []step{{0, 3, 3, 3, 0}, {evidence.ReportTTL - 1, 3, 2, 2, 0}, {1, 3, 3, 3, 0}, {evidence.ReportTTL - 1, 3, 3, 3, 0}, {1, 3, 3, 3, 1}}
+	missing := []step{{0, 3, 2, 2, 0}, {time.Minute, 3, 2, 2, 0}, {time.Second, 2, 2, 2, 0}, {evidence.ReportTTL, 2, 2, 2, 1}}
+	for _, test := range []struct {
+		name, self string
+		steps      []step
 	}{
-		"all, once":    {"a", []step{{0, 3, 3, 2, false}, {time.Second, 3, 3, 3, false}, {evidence.ReportTTL, 3, 3, 3, true}, {time.Minute, 3, 3, 3, false}, {0, 3, 2, 2, false}, {time.Minute, 3, 3, 3, false}, {time.Minute, 3, 3, 3, false}}},
-		"double count": {"a", []step{{0, 3, 3, 3, false}, {evidence.ReportTTL - 1, 3, 2, 2, false}, {1, 3, 3, 3, false}, {evidence.ReportTTL - 1, 3, 3, 3, false}, {1, 3, 3, 3, true}}},
-		"host missing": {"a", []step{{0, 3, 2, 2, false}, {time.Minute, 3, 2, 2, false}, {time.Second, 2, 2, 2, false}, {evidence.ReportTTL, 2, 2, 2, true}}},
-		"not first":    {"b", []step{{0, 3, 3, 3, false}, {time.Minute, 3, 3, 3, false}}},
-		"no view":      {"a", []step{{0, 0, 1, 1, false}, {time.Minute, 0, 1, 1, false}}},
+		{"all", "a", all}, {"counted twice", "a", twice}, {"missing", "a", missing}, {"not first", "b", []step{{0, 3, 3, 3, 0}, {time.Minute, 3, 3, 3, 0}}},
 	} {
-		t.Run(name, func(t *testing.T) {
-			g, now := NewWithT(t), time.Unix(1_000_000, 0)
-			var p evacuationProgress
-			for i, s := range test.steps {
-				now = now.Add(s.after)
-				p.setView(&catalog.View{Hosts: []catalog.Host{{Name: "a"}, {Name: "b"}, {Name: "c"}}[:s.known]}, test.self)
-				completed := p.update(now, &evidence.Sums{Hosts: s.counted, Evacuations: []evidence.EvacuationSum{{DataCentre: "bay", Hosts: s.inForce}}})
-				g.Expect(completed).To(HaveLen(map[bool]int{true: 1}[s.logged]), "step %d", i)
-				if s.logged {
-					g.Expect(now.Sub(completed[0].at)).To(Equal(evidence.ReportTTL), "the time at which all had it")
-				}
+		g, now, p := NewWithT(t), time.Unix(1_000_000, 0), evacuationProgress{}
+		for i, s := range test.steps {
+			now = now.Add(s.after)
+			p.setView(&catalog.View{Hosts: []catalog.Host{{Name: "a"}, {Name: "b"}, {Name: "c"}}[:s.known]}, test.self)
+			completed := p.update(now, &evidence.Sums{Hosts: s.counted, Evacuations: []evidence.EvacuationSum{{DataCentre: "bay", Hosts: s.inForce}}})
+			g.Expect(completed).To(HaveLen(s.completed), "%s, step %d", test.name, i)
+			for _, c := range completed {
+				g.Expect(now.Sub(c.at)).To(Equal(evidence.ReportTTL), "the time at which all had it")
 			}
-		})
+		}
 	}
 }
--- a/internal/evidencerpc/exchange_test.go
+++ b/internal/evidencerpc/exchange_test.go
@@ -70,9 +70,8 @@
 	hosts []*testHost
 	mu    sync.Mutex
 	down  map[int]bool
-	// cutOff are hosts that no call reaches or leaves, and delay is the time that a call
-	// and its reply take each.
-	cutOff map[host.ID]bool
+	// cutOff is a host that no message reaches or leaves; delay is the time a message takes.
+	cutOff host.ID
 	delay  time.Duration
 	calls  int
 }
@@ -89,17 +88,15 @@
 	n.calls++
 	down, delay := n.down[int(to.Port())], n.delay
 	n.mu.Unlock()
-	// transfer passes a message on, unless one of the hosts is cut off.
 	transfer := func() error {
 		time.Sleep(delay)
 		n.mu.Lock()
-		cutOff := n.cutOff[c.name] || n.cutOff[host.ID(fmt.Sprint(to.Port()))]
+		cutOff := n.cutOff == c.name || string(n.cutOff) == fmt.Sprint(to.Port())
 		n.mu.Unlock()
 		if cutOff {
 			<-ctx.Done()
-			return ctx.Err()
 		}
-		return nil
+		return ctx.Err()
 	}
 	if err := transfer(); err != nil {
 		return err
@@ -109,10 +106,7 @@
 	}
 	call := *args.(*ExchangeArgs)
 	call.SetContext(ctx)
-	if err := NewService(n.hosts[to.Port()].exchange, c.name).Exchange(&call, reply.(*ExchangeReply)); err != nil {
-		return err
-	}
-	return transfer()
+	return errors.Join(NewService(n.hosts[to.Port()].exchange, c.name).Exchange(&call, reply.(*ExchangeReply)), transfer())
 }
 
 // newNetwork runs hosts of which the first is the root, the next two are its children, and
