--- a/cmd/oatlatch/status_test.go
+++ b/cmd/oatlatch/status_test.go
@@ -79,6 +79,7 @@
 		g.Expect(code).To(BeZero())
 		g.Expect(json.Unmarshal([]byte(out), &status)).To(Succeed())
 		g.Expect(status.Evacuations).To(HaveLen(1))
+		g.Expect(out).To(ContainSubstring(`"hosts_in_force":1,"hosts_counted":1,"hosts_known":1,"open_flows_total":0,"outstanding_total":0}`))
 	}, 20*time.Second).Should(Succeed())
 	g.Expect([]any{status.Kind, status.Host, status.DataCentre, status.Ready, status.ConfigurationVersion}).To(Equal([]any{edge.StatusKind, "quay-1", "quay", true, uint64(7)}))
 	g.Expect(status.Knowledge.Source).To(Equal("store"))
@@ -93,7 +94,7 @@
 	fields := strings.Join(strings.Fields(out), " ")
 	for _, want := range []string{
 		"host quay-1 in quay ready", "configuration version 7", "from store revision", "evacuated bay since",
-		"upstreams 2 open flows 0 outstanding 0", "upstreams usable 1 draining 1 departed 0 evacuated 2 suspected 0 ejected 0 cold 1",
+		"upstreams 2 open flows 0 outstanding 0", "all hosts in force on 1 counted 1 of 1 known open flows 0 outstanding 0", "upstreams usable 1 draining 1 departed 0 evacuated 2 suspected 0 ejected 0 cold 1",
 		"i-00000001 desk quay open flows 0 outstanding 0 draining", "i-00000002 desk quay open flows 0 outstanding 0 cold for",
 	} {
 		g.Expect(fields).To(ContainSubstring(want))
@@ -103,6 +104,17 @@
 	g.Expect(code).To(Equal(statusFailed))
 }
 
+// Guards against a host that says nothing of an evacuation that it has missed.
+func TestTextOfEvacuationElsewhere(t *testing.T) {
+	var out strings.Builder
+	s := edge.Status{EvacuationsElsewhere: []edge.EvacuationElsewhere{{DataCentre: "bay", Revision: 7, EvacuationTotals: edge.EvacuationTotals{
+		HostsInForce: 428, HostsCounted: 429, HostsKnown: 430, OpenFlowsTotal: 12, OutstandingTotal: 3,
+	}}}}
+	NewWithT(t).Expect(printEdgeStatus(&out, &s)).To(Succeed())
+	NewWithT(t).Expect(strings.Join(strings.Fields(out.String()), " ")).To(ContainSubstring(
+		"not in force bay on this host revision 7 of epoch 0 all hosts in force on 428 counted 429 of 430 known open flows 12 outstanding 3"))
+}
+
 // Guards against a state or its reason that is missing from the text.
 func TestTextOfUpstreamStates(t *testing.T) {
 	now := time.Unix(1_000_000, 0)
--- a/cmd/oatlatchd/evacuation_test.go
+++ b/cmd/oatlatchd/evacuation_test.go
@@ -15,7 +15,8 @@
 
 // TestEvacuationIsInForceOnAllHosts runs two hosts, of which one reads the other, and a
 // third that starts while the evacuation is in force. It guards against a request, or its
-// removal, that does not reach the engine of a host.
+// removal, that does not reach the engine of a host, and against a first host that does not
+// learn that all others have it.
 func TestEvacuationIsInForceOnAllHosts(t *testing.T) {
 	store, err := standin.NewStore()
 	if err != nil {
@@ -55,6 +56,15 @@
 			t.Errorf("%s does not count the upstream in the data centre", host)
 		}
 	}
+	everywhere := func(host string) bool {
+		line, _ := log.find(host, "evacuation_in_force_everywhere", "hosts", "2")
+		return line != nil
+	}
+	for deadline := time.Now().Add(awaitLimit); everywhere("h-1") == everywhere("h-2"); time.Sleep(50 * time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatal("no host, or each, says that it is in force everywhere; want the first one")
+		}
+	}
 	hosts = append(hosts, "h-3")
 	startHost(t, daemon, "h-3", store.Address(), log, "", "")
 	log.await(t, hosts, "evacuation_in_force", "data_centre", "b")
--- a/internal/edge/status.go
+++ b/internal/edge/status.go
@@ -17,7 +17,8 @@
 	SourceSeed = "seed"
 )
 
-// Status is the state of a host as JSON. Flows and requests are those of this host.
+// Status is the state of a host as JSON. Flows and requests are those of this host, but for
+// the totals of EvacuationStatus.
 type Status struct {
 	Kind       string `json:"kind"`
 	Host       string `json:"host"`
@@ -32,9 +33,10 @@
 	Knowledge            KnowledgeStatus `json:"knowledge"`
 	Flows                int             `json:"flows"`
 	WaitingFlows         int             `json:"waiting_flows"`
-	// Evacuations are sorted by data centre.
-	Evacuations    []EvacuationStatus `json:"evacuations"`
-	UpstreamCounts UpstreamCounts     `json:"upstream_counts"`
+	// Evacuations are those in force on this host, sorted by data centre.
+	Evacuations          []EvacuationStatus    `json:"evacuations"`
+	EvacuationsElsewhere []EvacuationElsewhere `json:"evacuations_elsewhere"`
+	UpstreamCounts       UpstreamCounts        `json:"upstream_counts"`
 	// Upstreams are those that are cold, draining, suspected or ejected: first the ejected
 	// and suspected ones, then the draining and the cold ones, each sorted by name.
 	Upstreams []UpstreamStatus `json:"upstreams"`
@@ -65,6 +67,29 @@
 	Upstreams   int `json:"upstreams"`
 	OpenFlows   int `json:"open_flows"`
 	Outstanding int `json:"outstanding"`
+	EvacuationTotals
+}
+
+// EvacuationElsewhere is a request to evacuate a data centre that other hosts have in force
+// and this one has not.
+type EvacuationElsewhere struct {
+	DataCentre string `json:"data_centre"`
+	Epoch      uint64 `json:"epoch"`
+	Revision   uint64 `json:"revision"`
+	EvacuationTotals
+}
+
+// EvacuationTotals are the numbers of all hosts.
+type EvacuationTotals struct {
+	// HostsInForce is the number of hosts that have the request in force, of HostsCounted
+	// whose reports have arrived lately, of HostsKnown in the catalog. It may be 0 for a
+	// moment after this host has put the request in force.
+	HostsInForce int `json:"hosts_in_force"`
+	HostsCounted int `json:"hosts_counted"`
+	HostsKnown   int `json:"hosts_known"`
+	// OpenFlowsTotal and OutstandingTotal are those of the hosts in force together.
+	OpenFlowsTotal   int `json:"open_flows_total"`
+	OutstandingTotal int `json:"outstanding_total"`
 }
 
 // UpstreamCounts are numbers of upstreams by state. Suspected, ejected and cold ones also
