experiment: pattern of a data centre whose upstreams all fall silent

Cause: the mechanism data-centre-silence had no model in which its worth shows. The mechanism stays.

--- a/internal/experiment/pattern.go
+++ b/internal/experiment/pattern.go
@@ -63,6 +63,7 @@
 		{"sinkhole", "a quarter of the upstreams answers each request with an error at once for eight seconds", sinkhole},
 		{"grey-fleet", "a fifth of the upstreams answers 40% of its requests with an error for eight seconds", greyFleet},
 		{"dark-many", "a fifth of the upstreams falls silent at once for five seconds", darkMany},
+		{"dark-data-centre", "all upstreams of one data centre fall silent at once for five seconds", darkDataCentre},
 		{"mute", "a fifth of the upstreams runs requests without a response for six seconds", muteUpstreams},
 		{"lossy-host", "one host loses a third of its packets to upstreams", lossyHost},
 		{"slow-upstreams", "two upstreams are four times slower", slowUpstreams},
@@ -260,6 +261,15 @@
 	disturb(sim, 5, 5*time.Second, func(u *upstreamNode) { u.silent = true }, func(u *upstreamNode) { u.silent = false })
 }
 
+func darkDataCentre(sim *simulation) {
+	for _, u := range sim.upstreams {
+		if u.dc == sim.options.DataCentres-1 {
+			sim.at(patternStart, func() { u.silent = true })
+			sim.at(patternStart+5*time.Second, func() { u.silent = false })
+		}
+	}
+}
+
 func muteUpstreams(sim *simulation) {
 	disturb(sim, 5, 6*time.Second, func(u *upstreamNode) { u.muteRate = 1 }, func(u *upstreamNode) { u.muteRate = 0 })
 }
