echo: leave upstreams that take no flows out of a pool's ejections

Cause: evaluatePool passed over evacuated upstreams only. A draining or departed one that had been ejected, or whose answers looked failed, counted towards the third of a pool that may be ejected and towards the half that makes the service look changed, but not among the upstreams that this is a third of. A release in which old processes fail could thus keep failed ones in use. Change: upstreams that take no new flows are passed over, and not ejected.

--- a/internal/flow/echo/ejection.go
+++ b/internal/flow/echo/ejection.go
@@ -210,12 +210,11 @@
 	var others answerCounts
 	for _, u := range p.upstreams {
 		u.counts.decay(now)
-		if u.evacuated {
+		if !u.acceptsFlows() {
+			// Ejecting it keeps nothing from it, and would use up what may be ejected.
 			continue
 		}
-		if u.acceptsFlows() {
-			available++
-		}
+		available++
 		switch {
 		case now.Before(u.ejection.until):
 			ejected++
--- a/internal/flow/echo/ejection_test.go
+++ b/internal/flow/echo/ejection_test.go
@@ -1,6 +1,8 @@
 package echo
 
 import (
+	"maps"
+	"slices"
 	"testing"
 	"time"
 
@@ -306,3 +308,51 @@
 	h.engine.SetEvidence(h.now, []evidence.Entry{{Upstream: 1, Answers: 9, Failed: 4, FailingHosts: 3, AnswerAge: time.Second}})
 	g.Expect(h.ejected()).To(HaveKey("i-00000001"))
 }
+
+// TestUpstreamsThatTakeNoFlowsAreLeftOutOfAPool guards against failed upstreams that keep
+// getting new flows because draining ones use up the share that may be ejected, or make the
+// pool look changed.
+func TestUpstreamsThatTakeNoFlowsAreLeftOutOfAPool(t *testing.T) {
+	drain := func(e *catalog.Entry) { e.Draining = true }
+	depart := func(e *catalog.Entry) { e.Presence = catalog.Departed }
+	tests := map[string]struct {
+		// leave is how the first upstreams stop to take flows, and failed and answers are
+		// theirs. The first failing ones of the others fail all requests.
+		leave           func(*catalog.Entry)
+		leaving         int
+		failed, answers float32
+		ejectedBefore   bool
+		failing         int
+	}{
+		"ejected before they drain":    {leave: drain, leaving: 1, ejectedBefore: true, failing: 3},
+		"draining ones fail the most":  {leave: drain, leaving: 4, failed: 20, answers: 20, failing: 2},
+		"departed ones fail the most":  {leave: depart, leaving: 4, failed: 20, answers: 20, failing: 2},
+		"draining ones fail sometimes": {leave: drain, leaving: 4, failed: 20, answers: 100, failing: 2},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			h := newHarness(t, tenUpstreams()...)
+			for id := 1; id <= 10; id++ {
+				u := h.engine.upstreams[catalog.UpstreamID(id)]
+				u.counts = answerCounts{answers: 10, at: h.now}
+				if id <= test.leaving {
+					u.counts.failed, u.counts.answers = test.failed, test.answers
+					if test.ejectedBefore {
+						h.engine.eject(h.now, u)
+					}
+					h.updateUpstream(id, test.leave)
+				} else if id <= test.leaving+test.failing {
+					u.counts.failed = 10
+				}
+			}
+			h.events = nil
+			h.engine.evaluatePools(h.now)
+			var want []string
+			for id := test.leaving + 1; id <= test.leaving+test.failing; id++ {
+				want = append(want, newEntry(id, localDC).Name)
+			}
+			g.Expect(slices.Sorted(maps.Keys(h.ejected()))).To(Equal(want))
+		})
+	}
+}
