echo: count only this host's own findings in the hold-down of a suspicion

Cause: suspect doubled the hold-down for each suspicion, also for those that rest on the reports of other hosts. After three of these a host's own second suspicion of an upstream could not be cleared by probes for 8 s instead of 1 s, although the links of the others may have been at fault. An own finding during a suspicion by reports had no hold-down of its own. Change: only a suspicion by own evidence starts a hold-down and doubles the next; one by reports uses the length that is there. Suspicion of a whole data centre is this host's own finding and counts as before.

--- a/internal/flow/echo/ejection.go
+++ b/internal/flow/echo/ejection.go
@@ -142,7 +142,6 @@
 	switch {
 	case silent && !u.suspected() && u.active():
 		e.suspect(now, u, Reported)
-		u.byReports = true
 	case !silent && u.byReports:
 		e.clearSuspicion(now, u, Answered)
 	case !u.suspected() && u.unansweredFlows > 0 && lastAnswer.After(u.strikeSent):
--- a/internal/flow/echo/suspicion.go
+++ b/internal/flow/echo/suspicion.go
@@ -23,7 +23,7 @@
 	probeInterval = 300 * time.Millisecond
 	// initialHoldDown is how long probes cannot clear an upstream that is suspected
 	// again without having answered a flow since it was last cleared. The time doubles
-	// with each further suspicion, up to maxHoldDown.
+	// with each further suspicion by this host's own evidence, up to maxHoldDown.
 	initialHoldDown = time.Second
 	maxHoldDown     = 8 * time.Second
 	// pauseGap is the time without any packet after which retransmissions are
@@ -92,9 +92,9 @@
 	if u.unansweredFlows < suspectThreshold || u.suspected() && !u.byReports {
 		return
 	}
-	u.byReports = false
 	if u.suspected() {
-		u.suspectReason = Retransmissions // this host now has evidence of its own
+		u.byReports, u.suspectReason = false, Retransmissions // this host now has evidence of its own
+		e.startHoldDown(now, u)
 		return
 	}
 	e.suspect(now, u, Retransmissions)
@@ -134,14 +134,26 @@
 // suspect marks an upstream as suspected. New flows avoid it until it answers a flow,
 // a probe clears it or a new process uses its ID.
 func (e *Engine) suspect(now time.Time, u *upstream, reason Reason) {
-	u.suspectedAt, u.suspectReason, u.lastProbe, u.holdDownUntil = now, reason, time.Time{}, now.Add(u.holdDown)
-	if !e.options.Without.Has(HoldDown) {
-		u.holdDown = min(maxHoldDown, max(initialHoldDown, 2*u.holdDown))
+	u.suspectedAt, u.suspectReason, u.lastProbe = now, reason, time.Time{}
+	u.byReports = reason == Reported
+	if u.byReports {
+		u.holdDownUntil = now.Add(u.holdDown)
+	} else {
+		e.startHoldDown(now, u)
 	}
 	e.suspectedCount++
 	e.report(Event{Kind: Suspected, Upstream: u.Name, DataCentre: u.DataCentre, Reason: reason, UnansweredFlows: u.unansweredFlows, Hosts: u.reported.SilentHosts, Age: timeSince(now, u.lastAnswer)})
 }
 
+// startHoldDown starts the hold-down of a suspicion by this host's own evidence, and makes
+// that of the next one longer.
+func (e *Engine) startHoldDown(now time.Time, u *upstream) {
+	u.holdDownUntil = now.Add(u.holdDown)
+	if !e.options.Without.Has(HoldDown) {
+		u.holdDown = min(maxHoldDown, max(initialHoldDown, 2*u.holdDown))
+	}
+}
+
 // recordAnswer records that the upstream answered a flow of this host.
 func (e *Engine) recordAnswer(now time.Time, u *upstream) {
 	u.lastAnswer, e.lastAnswer = now, now
