echo, evidencerpc: scale ejections and own evidence with the answer times

Cause: the first ejection of 2 s and the 20 ms for which a host uses its own evidence again fit services with 20 to 100 ms of work. An upstream of a 1 s service was tried again after two answers' time; one of a 1 ms service was out of use for thousands of answers, and evidence was as old as twenty of them. Own evidence also kept the ages it had when it was collected. A quick service has the usual times from the second ejection on, and needs a failed answer after a short ejection for the next. The ages of own evidence go on. Evidence decays the numbers of those upstreams only that it may report. The tests' engine of evidencerpc has the new method, with the 20 ms of before.

--- a/internal/evidence/report.go
+++ b/internal/evidence/report.go
@@ -46,6 +46,15 @@
 	return e
 }
 
+// Aged returns the entries as they are the time d after their report.
+func Aged(entries []Entry, d time.Duration) []Entry {
+	aged := make([]Entry, len(entries))
+	for i, e := range entries {
+		aged[i] = e.aged(d)
+	}
+	return aged
+}
+
 // Decay returns the weight that is left after the time.
 func Decay(d time.Duration) float32 {
 	return float32(math.Exp(-float64(d) / float64(DecayTime)))
--- a/internal/evidencerpc/exchange.go
+++ b/internal/evidencerpc/exchange.go
@@ -25,9 +25,6 @@
 	// and callGap the pause between two calls.
 	deliveryTime = 50 * time.Millisecond
 	callGap      = 50 * time.Millisecond
-	// ownLifetime is how long this host's own evidence is used again without asking the
-	// engine, whose lock packets need as well. New evidence ends it.
-	ownLifetime = 20 * time.Millisecond
 	// retryDelay is the delay after a failed call, and while there is no parent.
 	retryDelay = time.Second
 )
@@ -43,6 +40,8 @@
 	// Evidence returns what the host has seen of the upstreams that look failed to it, and
 	// of those in question.
 	Evidence(now time.Time, inQuestion map[catalog.UpstreamID]struct{}) []evidence.Entry
+	// EvidenceLifetime returns how long the last result of Evidence may be used again.
+	EvidenceLifetime() time.Duration
 	// SetEvidence replaces the evidence of all hosts.
 	SetEvidence(now time.Time, entries []evidence.Entry)
 }
@@ -65,9 +64,11 @@
 
 	mu   sync.Mutex
 	node *evidence.Node
-	// own is this host's own evidence at ownAt.
-	own   []evidence.Entry
-	ownAt time.Time
+	// own is this host's own evidence at ownAt. It is used again for ownLifetime without
+	// asking the engine, whose lock packets need as well. New evidence ends it.
+	own         []evidence.Entry
+	ownAt       time.Time
+	ownLifetime time.Duration
 	// parents are the hosts to call, the next one after a failure; empty for the first
 	// host. parent is the one in use.
 	parents []catalog.Host
@@ -207,6 +208,7 @@
 		if reply.Version != x.parentVersion {
 			x.parentVersion = reply.Version
 			x.received++
+			x.ownOutdated.Store(true) // other upstreams may be in question
 			x.announceLocked()
 		}
 	}
@@ -282,10 +284,11 @@
 
 // ownLocked returns this host's own evidence. x.mu must be held.
 func (x *Exchange) ownLocked(now time.Time) []evidence.Entry {
-	if x.ownOutdated.Swap(false) || now.Sub(x.ownAt) >= ownLifetime {
+	if x.ownOutdated.Swap(false) || now.Sub(x.ownAt) >= x.ownLifetime {
 		x.own, x.ownAt = x.options.Engine.Evidence(now, x.node.InQuestion(now)), now
+		x.ownLifetime = x.options.Engine.EvidenceLifetime()
 	}
-	return x.own
+	return evidence.Aged(x.own, now.Sub(x.ownAt))
 }
 
 // parentNameLocked returns the name of the parent, or "". x.mu must be held.
--- a/internal/evidencerpc/exchange_test.go
+++ b/internal/evidencerpc/exchange_test.go
@@ -24,6 +24,8 @@
 	// silentHosts is the largest number of hosts with such flows that the engine has been
 	// told of.
 	silentHosts int
+	// lifetime is that of the evidence.
+	lifetime time.Duration
 }
 
 func (e *testEngine) Evidence(time.Time, map[catalog.UpstreamID]struct{}) []evidence.Entry {
@@ -35,6 +37,8 @@
 	return []evidence.Entry{{Upstream: 1, Strikes: e.strikes, SilentHosts: 1, AnswerAge: evidence.NoAnswer}}
 }
 
+func (e *testEngine) EvidenceLifetime() time.Duration { return e.lifetime }
+
 func (e *testEngine) SetEvidence(_ time.Time, entries []evidence.Entry) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -95,7 +99,7 @@
 		return catalog.Host{Name: fmt.Sprint(i), Peer: netip.AddrPortFrom(netip.IPv4Unspecified(), uint16(i))}
 	}
 	for i := range hosts {
-		h := &testHost{engine: &testEngine{}, index: i}
+		h := &testHost{engine: &testEngine{lifetime: 20 * time.Millisecond}, index: i}
 		client := caller{n, host.ID(fmt.Sprint(i))}
 		h.exchange = New(Options{Engine: h.engine, Client: func() Client { return client }, Now: time.Now})
 		switch {
@@ -200,7 +204,7 @@
 // TestAnswerWaitsForNews checks the wait of a call.
 func TestAnswerWaitsForNews(t *testing.T) {
 	g := NewWithT(t)
-	x := New(Options{Engine: &testEngine{}, Client: func() Client { return nil }, Now: time.Now})
+	x := New(Options{Engine: &testEngine{lifetime: 20 * time.Millisecond}, Client: func() Client { return nil }, Now: time.Now})
 	service := NewService(x, "child")
 	call := func(version uint64, wait time.Duration) ExchangeReply {
 		args := &ExchangeArgs{Version: version, Wait: wait}
@@ -218,3 +222,32 @@
 	g.Expect(reply.Version).NotTo(Equal(first.Version))
 	g.Expect(reply.Total.Entries).To(HaveLen(1))
 }
+
+// TestOwnEvidenceIsUsedAgainForItsLifetime guards against a host that takes its engine's lock
+// for each call, against evidence that is older than the engine allows, and against ages that
+// stand still meanwhile: a strike would look later than another host's answer.
+func TestOwnEvidenceIsUsedAgainForItsLifetime(t *testing.T) {
+	for _, lifetime := range []time.Duration{5 * time.Millisecond, 160 * time.Millisecond} {
+		t.Run(lifetime.String(), func(t *testing.T) {
+			g := NewWithT(t)
+			now := time.Unix(1_000_000, 0)
+			engine := &testEngine{strikes: 1, lifetime: lifetime}
+			x := New(Options{Engine: engine, Now: func() time.Time { return now }})
+			report := func() evidence.Entry {
+				total, _ := x.total()
+				g.Expect(total.Entries).To(HaveLen(1))
+				return total.Entries[0]
+			}
+			report()
+			engine.strikes = 2
+			now = now.Add(lifetime - 1)
+			g.Expect(report().Strikes).To(Equal(1))
+			g.Expect(report().StrikeAge).To(Equal(lifetime - 1))
+			now = now.Add(1)
+			g.Expect(report().Strikes).To(Equal(2))
+			engine.strikes = 3
+			x.Notify()
+			g.Expect(report().Strikes).To(Equal(3), "new evidence ends it")
+		})
+	}
+}
--- a/internal/flow/echo/ejection.go
+++ b/internal/flow/echo/ejection.go
@@ -29,12 +29,14 @@
 	poolFailedFraction = 0.1
 	// initialEjection is how long an upstream is ejected for the first time. The time
 	// doubles with each further ejection, up to maxEjection, until the upstream has not
-	// been ejected for ejectionMemory.
+	// been ejected for ejectionMemory. All three are those of a service with the usual
+	// answer times. They are longer for a slow one, and initialEjection is shorter for a
+	// quick one.
 	initialEjection = 2 * time.Second
 	maxEjection     = 16 * time.Second
 	ejectionMemory  = 20 * time.Second
 	// rampTime is the time after an ejection in which the upstream's share of new flows
-	// grows from minRampShare to all.
+	// grows from minRampShare to all. It scales as initialEjection does.
 	rampTime     = 3 * time.Second
 	minRampShare = 0.1
 	// ejectionInterval is the minimum time between two evaluations of the evidence.
@@ -52,6 +54,8 @@
 	until time.Time
 	// length is the length of the last ejection.
 	length time.Duration
+	// ramp is the time after until in which the share grows.
+	ramp time.Duration
 	// answers and failed are the numbers of answers and of failed ones that led to it, and
 	// hosts is the number of hosts that had failed ones.
 	answers, failed float32
@@ -63,12 +67,12 @@
 // share returns the share of its new flows that the upstream gets.
 func (j *ejection) share(now time.Time) float64 {
 	switch after := now.Sub(j.until); {
-	case j.until.IsZero() || after >= rampTime:
+	case j.until.IsZero() || after >= j.ramp:
 		return 1
 	case after < 0:
 		return 0
 	default:
-		return max(minRampShare, float64(after)/float64(rampTime))
+		return max(minRampShare, float64(after)/float64(j.ramp))
 	}
 }
 
@@ -87,11 +91,16 @@
 	defer e.mu.Unlock()
 	var entries []evidence.Entry
 	for id, u := range e.upstreams {
-		u.counts.decay(now)
+		// The number of failed answers only falls as it decays, so most upstreams are passed
+		// over before that. It has to be cheap, because packets wait for the engine's lock.
 		_, asked := inQuestion[id]
 		if !asked && u.unansweredFlows == 0 && u.counts.failed < minReportedFailed {
 			continue
 		}
+		u.counts.decay(now)
+		if !asked && u.unansweredFlows == 0 && u.counts.failed < minReportedFailed {
+			continue
+		}
 		entry := evidence.Entry{Upstream: id, Answers: u.counts.answers, Failed: u.counts.failed, AnswerAge: evidence.NoAnswer}
 		if u.counts.failed >= minReportedFailed {
 			entry.FailingHosts = 1
@@ -255,7 +264,7 @@
 // looksFailed reports whether the evidence ejects the upstream.
 func (e *Engine) looksFailed(now time.Time, u *upstream) bool {
 	answers, failed, hosts := u.combined(now)
-	if hosts < minFailingHosts && u.counts.failed < minFailedAnswers {
+	if hosts < minFailingHosts && u.counts.failed < minFailedAnswers || !u.failedSinceEjection(now, failed) {
 		return false
 	}
 	fraction := failed / max(answers, failed)
@@ -264,10 +273,17 @@
 
 // eject keeps new flows from the upstream for a time.
 func (e *Engine) eject(now time.Time, u *upstream) {
-	if now.Sub(u.ejection.until) > ejectionMemory {
-		u.ejection.length = 0
+	scale := e.poolOf(u).timeScale()
+	slow := max(1, scale)
+	switch {
+	case u.ejection.length == 0 || now.Sub(u.ejection.until) > scaleTime(ejectionMemory, slow):
+		u.ejection.length = scaleTime(initialEjection, scale)
+	default:
+		// A quick service has the usual times from the second ejection on: with shorter ones,
+		// an upstream that goes on failing would cost more requests.
+		u.ejection.length = min(scaleTime(maxEjection, slow), max(initialEjection, 2*u.ejection.length))
 	}
-	u.ejection.length = min(maxEjection, max(initialEjection, 2*u.ejection.length))
+	u.ejection.ramp = scaleTime(rampTime, min(slow, float64(u.ejection.length)/float64(initialEjection)))
 	u.ejection.until, u.ejection.returning = now.Add(u.ejection.length), true
 	answers, failed, hosts := u.combined(now)
 	u.ejection.answers, u.ejection.failed, u.ejection.hosts = answers, failed, hosts
