echo: see overdue requests when they are due, and count them until they end

Seen at once and counted as before, more requests failed: the half failed answer decayed while the request was still unanswered, and the answers of the seconds before outweighed it, so hosts came back to the upstream before their sums could eject it. Change: outstanding requests of a route are in a list by age. Ten times a second a check takes those that are overdue from its front; a packet costs one comparison. An overdue request does not decay while it is outstanding, and voids earlier answers of the upstream to this host if none has come since it was sent.

--- a/internal/flow/echo/answers.go
+++ b/internal/flow/echo/answers.go
@@ -104,6 +104,9 @@
 // that looked failed. Older answers count less.
 type answerCounts struct {
 	answers, failed float32
+	// owed is the part of both numbers that stands for overdue requests which are still
+	// outstanding. It does not decay.
+	owed float32
 	// at is the time for which the numbers hold.
 	at time.Time
 }
@@ -117,11 +120,23 @@
 	}
 }
 
+// owe adds an overdue request.
+func (c *answerCounts) owe(now time.Time) {
+	c.observe(now, true, overdueWeight)
+	c.owed += overdueWeight
+}
+
+// settle lets an overdue request that is no longer outstanding decay from now on.
+func (c *answerCounts) settle(now time.Time) {
+	c.decay(now)
+	c.owed = max(0, c.owed-overdueWeight) // a new process at the upstream owes nothing
+}
+
 // decay reduces the numbers to what they are now.
 func (c *answerCounts) decay(now time.Time) {
 	if c.answers > 0 {
 		weight := evidence.Decay(now.Sub(c.at))
-		c.answers, c.failed = c.answers*weight, c.failed*weight
+		c.answers, c.failed = c.owed+(c.answers-c.owed)*weight, c.owed+(c.failed-c.owed)*weight
 	}
 	c.at = now
 }
--- a/internal/flow/echo/ejection.go
+++ b/internal/flow/echo/ejection.go
@@ -91,7 +91,7 @@
 	defer e.mu.Unlock()
 	var entries []evidence.Entry
 	for id, u := range e.upstreams {
-		// The number of failed answers only falls as it decays, so most upstreams are passed
+		// The number of failed answers never rises as it decays, so most upstreams are passed
 		// over before that. It has to be cheap, because packets wait for the engine's lock.
 		_, asked := inQuestion[id]
 		if !asked && u.unansweredFlows == 0 && u.counts.failed < minReportedFailed {
--- a/internal/flow/echo/engine.go
+++ b/internal/flow/echo/engine.go
@@ -32,6 +32,8 @@
 	catalog.Route
 	// typical tells which answers of the route are usual.
 	typical *typicalAnswer
+	// outstanding holds the flows with an outstanding request that is not overdue yet.
+	outstanding *requestList
 	// sheddable is set if new flows may be refused under overload in favour of
 	// routes with a higher priority.
 	sheddable bool
@@ -76,6 +78,8 @@
 	candidates []*upstream
 	records    map[flowKey]*flowRecord
 	lastSweep  time.Time
+	// overdueCheckedAt is when the outstanding requests were last checked.
+	overdueCheckedAt time.Time
 	// dataCentres holds the data centres of the upstreams by name.
 	dataCentres map[string]*dataCentreHealth
 	// evacuations holds the evacuated data centres by name.
@@ -130,6 +134,9 @@
 	if e.sweepDue(now) {
 		e.sweep(now)
 	}
+	if now.Sub(e.overdueCheckedAt) >= overdueCheckInterval {
+		e.checkOverdue(now)
+	}
 	r := e.routes[s.VirtualAddress]
 	switch {
 	case r == nil:
@@ -193,28 +200,15 @@
 		case rec.awaitingResponse && now.Sub(rec.requestedAt) > rec.responseTimeout():
 			if rec.sentRequest {
 				e.reportUnanswered(now, Unanswered, key, rec)
-				e.countOverdue(now, key, rec)
+				e.countOverdue(now, e.routes[key.address], rec)
 			}
 			rec.endRequest()
 		case rec.awaitingResponse && rec.sentRequest:
-			e.countOverdue(now, key, rec)
+			e.countOverdue(now, e.routes[key.address], rec)
 		}
 	}
 }
 
-// countOverdue counts the outstanding request of the flow as a failed answer once it is
-// overdue, unless the upstream is suspected of not answering at all.
-func (e *Engine) countOverdue(now time.Time, key flowKey, rec *flowRecord) {
-	r := e.routes[key.address]
-	if r == nil || rec.overdue || e.options.Without.Has(OverdueRequests) || rec.upstream.suspected() || now.Before(e.ignoreRetransmissionsUntil) {
-		return
-	}
-	if limit := min(r.typical.overdueAfter(), rec.responseTimeout()); limit > 0 && now.Sub(rec.requestedAt) > limit {
-		rec.overdue = true
-		e.countAnswer(now, rec.upstream, true, overdueWeight)
-	}
-}
-
 func (e *Engine) removeRecord(key flowKey, rec *flowRecord) {
 	rec.release()
 	delete(e.records, key)
--- a/internal/flow/echo/established.go
+++ b/internal/flow/echo/established.go
@@ -86,6 +86,7 @@
 		}
 		responseTime = now.Sub(rec.requestedAt)
 		e.recordResponseTime(now, r, rec, responseTime)
+		rec.upstream.answeredAt = now
 		if rec.sentRequest && !rec.overdue {
 			failed := r.typical.observe(responseTime, int64(size))
 			e.countAnswer(now, rec.upstream, failed, 1)
@@ -104,6 +105,7 @@
 		}
 		rec.nextSeq, rec.sentRequest = end, true
 		rec.startRequest(now)
+		r.outstanding.add(rec)
 	case s.Length > 0:
 		// If the flow has moved here from another host, this host may not know when the
 		// request was first sent. A retransmission cannot then be told from reordering.
--- a/internal/flow/echo/flow_record.go
+++ b/internal/flow/echo/flow_record.go
@@ -36,6 +36,8 @@
 	awaitingResponse bool
 	// overdue is set when the outstanding request has been counted as overdue.
 	overdue bool
+	// links are those in the list of the route's outstanding requests.
+	links requestLinks
 	// countedSeries is one more than the upstream's strikeSeries at the time when the flow
 	// was last counted in unansweredFlows, or zero if it never was.
 	countedSeries uint32
@@ -76,7 +78,8 @@
 // startRequest records the arrival of a SYN or a request and counts the flow as
 // outstanding at the upstream, unless it already is.
 func (r *flowRecord) startRequest(now time.Time) {
-	r.requestedAt, r.overdue = now, false
+	r.settleOverdue(now)
+	r.requestedAt = now
 	if !r.awaitingResponse {
 		r.foundFreeSlot = float64(r.upstream.outstanding) < r.upstream.effectiveSlots(now)
 		r.awaitingResponse = true
@@ -87,6 +90,8 @@
 // endRequest ends the wait for a response, if any, and no longer counts the flow as
 // outstanding at the upstream.
 func (r *flowRecord) endRequest() {
+	r.unlist()
+	r.settleOverdue(r.lastSeen)
 	if r.awaitingResponse {
 		r.awaitingResponse = false
 		r.upstream.outstanding--
--- a/internal/flow/echo/upstream.go
+++ b/internal/flow/echo/upstream.go
@@ -14,6 +14,8 @@
 	ejection ejection
 	// counts are the numbers of recent answers to this host.
 	counts answerCounts
+	// answeredAt is when a request of this host was last answered.
+	answeredAt time.Time
 	// reported is the evidence of all hosts at reportedAt.
 	reported   evidence.Entry
 	reportedAt time.Time
--- a/internal/flow/echo/view.go
+++ b/internal/flow/echo/view.go
@@ -34,9 +34,9 @@
 	}
 	routes := make(map[netip.AddrPort]*route, len(c.Routes))
 	for _, configured := range c.Routes {
-		r := &route{Route: configured, typical: &typicalAnswer{}}
+		r := &route{Route: configured, typical: &typicalAnswer{}, outstanding: &requestList{}}
 		if old := e.routes[configured.Address]; old != nil {
-			r.typical, r.restriction = old.typical, old.restriction
+			r.typical, r.outstanding, r.restriction = old.typical, old.outstanding, old.restriction
 		}
 		routes[configured.Address] = r
 	}
