echo: show that resets by upstreams count as overdue requests

The caller sends nothing more on it, so its request is overdue after 0.4 s and counts like one at a mute upstream. Change: a test for this, and for a caller with two flows at a time, which must not count. No rule that takes a new flow from the same address as evidence: callers with several flows and those behind address translation do that without a fault, the index by address would be state that callers can make grow, and the gain is 0.4 s at most.

--- a/internal/flow/echo/overdue_test.go
+++ b/internal/flow/echo/overdue_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"net/netip"
 	"testing"
 	"time"
 
@@ -112,3 +113,34 @@
 		}
 	}
 }
+
+// Guards against a balancer that never notices resets by an upstream, which go to the caller
+// directly, and against one that takes parallel flows of a caller for them.
+func TestResetsByAnUpstreamShowAsOverdueRequests(t *testing.T) {
+	for name, reset := range map[string]bool{"reset": true, "parallel flow": false} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			h := newHarness(t, tenUpstreams()...)
+			flows := h.openOnEach(10, 2)
+			h.learnUsualAnswers()
+			first := flows[1][0]
+			u := h.engine.upstreams[1]
+			u.counts = answerCounts{}
+			first.sendRequest()
+			h.advance(10 * time.Millisecond)
+			second := h.newFlow(watchAddress)
+			second.caller = netip.AddrPortFrom(first.caller.Addr(), first.caller.Port()+1)
+			second.open()
+			h.passPackets(flows[2][0], 200*time.Millisecond)
+			if !reset {
+				first.ackResponse()
+			}
+			h.passPackets(flows[2][0], minOverdue)
+			want := 0.0
+			if reset {
+				want = overdueWeight
+			}
+			g.Expect(u.counts.failed).To(BeNumerically("==", want))
+		})
+	}
+}
