--- a/internal/experiment/pattern.go
+++ b/internal/experiment/pattern.go
@@ -119,6 +119,7 @@
 	result.Balance = sim.balance.summarize(sim)
 	for _, h := range sim.hosts {
 		result.Ejections += h.ejections
+		result.Suspicions += h.suspicions
 	}
 	return result
 }
