experiment: requests on a flow without a caller have no account

Cause: TestQueueIsServedAfterSilence sends requests on a flow without a caller, and unansweredRequest read its caller. Change: such a flow has no account. Measured: the test panicked, and passes.

--- a/internal/experiment/caller.go
+++ b/internal/experiment/caller.go
@@ -204,11 +204,11 @@
 
 // unansweredRequest returns the account of the caller's request if the packet is a copy of its
 // SYN or data, on the caller's current flow, and no upstream has answered an earlier one.
-// Otherwise it returns nil.
+// Otherwise, and for a flow without a caller, it returns nil.
 func (f *callerFlow) unansweredRequest(s *echo.Segment) *requestAccount {
 	c := f.caller
 	switch {
-	case f.closed || c.flow != f || !c.pending:
+	case c == nil || f.closed || c.flow != f || !c.pending:
 	case s.SYN && f.upstream == nil, s.Length > 0 && f.accepted < f.sent:
 		return c.account
 	}
