catalog: take over no override of a record that the store has removed

Cause: after a restore, a host overrides an outdated record of an upstream. Another host that has read the store after the record's removal got that override from it as a record unknown to it, kept it, and told it back in a listing at its own, later position. The listing hid the removal from the first host, and after 15 s both used the upstream again although the store had no record of it. Change: an override of an unknown record at a position that the catalog has passed is taken for the departure of the upstream, as of the catalog's position. TestOverrideOfRemovedRecord has the minimal case and fails without the change.

--- a/internal/catalog/registration.go
+++ b/internal/catalog/registration.go
@@ -8,6 +8,11 @@
 	u, position := change.Upstream, change.Position
 	e, ok := c.upstreams[u.Name]
 	switch {
+	case !ok && c.overridesRemoved(change):
+		c.unregisterUpstream(now, &Change{
+			Position: position, Override: true, Removed: u.Name, LastRecord: u.RecordID, LastRegistration: lastRegistration(&Entry{Upstream: *u}),
+		})
+		return
 	case !ok:
 		e = &Entry{}
 		c.upstreams[u.Name] = e
@@ -84,7 +89,9 @@
 	case !ok:
 		e = newDeparted(now, change)
 		c.upstreams[name] = e
-		if change.Override {
+		if c.overridesRemoved(change) {
+			e.position = c.position
+		} else if change.Override {
 			c.setOverride(now, e, change.storedOr(&e.Upstream))
 		}
 	case e.position.After(position):
--- a/internal/catalog/restore.go
+++ b/internal/catalog/restore.go
@@ -99,6 +99,13 @@
 	e.position, e.beforeRestore, e.settled = position, false, false
 }
 
+// overridesRemoved reports whether the change, of an upstream that the catalog does not know,
+// overrides a record that the store no longer has: a catalog that is complete beyond the
+// record's position would know the record. The source has not read its removal yet.
+func (c *Catalog) overridesRemoved(change *Change) bool {
+	return change.Override && !change.Position.After(c.position)
+}
+
 // storedOr returns the store's record, or the fallback if the source does not know it.
 func (change *Change) storedOr(fallback *Upstream) Upstream {
 	if change.Stored != nil {
--- a/internal/catalog/restore_test.go
+++ b/internal/catalog/restore_test.go
@@ -194,6 +194,33 @@
 	g.Expect(following.upstreams["u"].Upstream).To(Equal(*record("u", 0, 5)))
 }
 
+// TestOverrideOfRemovedRecord covers a host that has read the store after the removal of an
+// outdated record, and then a host that still overrides that record. If it took over the
+// override, both would use the upstream again once the override ends.
+func TestOverrideOfRemovedRecord(t *testing.T) {
+	for name, last := range map[string]Change{"left": removal(81, "u"), "drains": {Position: at(81), Upstream: draining(record("u", 0, 9))}} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			behind, ahead := New(Options{}), New(Options{})
+			applyListing(behind, start, 80, Change{Position: at(50), Upstream: record("u", 0, 5)})
+			behind.Apply(start, Update{Position: at(81), Changes: []Change{last}})
+			listRestored(behind, start, restored(40), Change{Position: restored(30), Upstream: record("u", 0, 5)})
+			listRestored(ahead, start, restored(41))
+			for range 2 {
+				g.Expect(follow(ahead, behind, start)).To(BeTrue())
+				g.Expect(ahead.overrides).To(BeZero())
+			}
+			g.Expect(follow(behind, ahead, start.Add(RecoveryGracePeriod))).To(BeTrue())
+			g.Expect(behind.overrides).To(BeZero())
+			for _, c := range []*Catalog{behind, ahead} {
+				c.expireEntries(start.Add(outdatedRecordLimit))
+				g.Expect(presenceOf(c, "u")).To(Equal(Departed))
+				g.Expect(c.upstreams["u"].ID).NotTo(BeZero(), "packets of its flows are those of a known upstream")
+			}
+		})
+	}
+}
+
 func TestConfigurationAfterRestore(t *testing.T) {
 	g := NewWithT(t)
 	c := New(Options{})
