catalog: take over no override of an evacuation that the store has removed

A host that had passed the removal of a restored request took the override of that request from a source that was behind. After 15 s the override ended in favour of the store's record, which was gone, and the evacuation stayed in force. Change: an override of a request at a position that the catalog has passed, and at which it knows none, is not taken over; the removal is taken instead if it is later than what the catalog keeps. TestOverrideOfRemovedRequest has the minimal case and fails without the change.

--- a/internal/catalog/evacuation.go
+++ b/internal/catalog/evacuation.go
@@ -163,6 +163,15 @@
 	if r.KeptFor >= outdatedRecordLimit || e.settled || e.position.After(position) {
 		return
 	}
+	if r.Withdrawn && position.After(e.position) && !position.After(c.position) {
+		// The catalog is complete beyond the stored request that the source overrides, and
+		// does not know it: the store has removed it since.
+		if r.Origin.After(e.origin) && (!e.requested || e.overrides()) {
+			c.setEvacuation(now, e, false, c.position, r.Age)
+			e.origin = r.Origin
+		}
+		return
+	}
 	if e.requested == r.Withdrawn {
 		if !r.Origin.After(e.origin) {
 			return
--- a/internal/catalog/evacuation_test.go
+++ b/internal/catalog/evacuation_test.go
@@ -238,6 +238,30 @@
 	g.Expect(evacuated(parent)).To(Equal([]string{"removed"}), "a host whose clock is behind must not start it again")
 }
 
+// TestOverrideOfRemovedRequest covers a host that has read the store after a request of the
+// copy was removed, and then a host that still overrides that request. If it took over the
+// override, the evacuation would be in force again once the override ends.
+func TestOverrideOfRemovedRequest(t *testing.T) {
+	for name, known := range map[string][]Change{"request known": {evacuate(at(30), "a")}, "nothing known": nil} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			behind, ahead := New(Options{}), New(Options{})
+			applyListing(behind, start, 80, evacuate(at(30), "a"))
+			behind.Apply(start, Update{Position: at(81), Changes: []Change{withdraw(at(81), "a")}})
+			listRestored(behind, start, restored(40), evacuate(restored(30), "a"))
+			applyListing(ahead, start, 80, known...)
+			listRestored(ahead, start, restored(41))
+			g.Expect(follow(ahead, behind, start)).To(BeTrue())
+			g.Expect(ahead.Have().Overrides).To(BeZero())
+			g.Expect(follow(behind, ahead, start)).To(BeTrue())
+			for _, c := range []*Catalog{behind, ahead} {
+				c.expireEntries(start.Add(outdatedRecordLimit))
+				g.Expect(evacuated(c)).To(BeEmpty())
+			}
+		})
+	}
+}
+
 // TestWriteAfterRestoreEndsWhatAnotherHostKeeps covers a host that took a record of the new
 // epoch for one of the copy, or missed a removal, because it read the store later: hosts
 // that saw the write tell it.
