catalog: recognise requests of a later listing as written after the restore

Cause: a request of evacuation that a host read in a listing counted as one that may be from the copy, although the host had already been complete at an earlier position of the epoch. Its origin was too early, so after a second restore the earlier removal of another request, told by a host that was behind, won over it. Change: while a listing is merged, completeTo is the position of the catalog in the same epoch if there is one, and only otherwise that of the listing. TestRequestSeenInALaterListing has the minimal case and fails without the change.

--- a/internal/catalog/evacuation.go
+++ b/internal/catalog/evacuation.go
@@ -78,8 +78,8 @@
 type evacuationState struct {
 	evacuations map[string]*evacuationEntry
 	// sourcePosition is the position of the answer that is being merged, and completeTo the
-	// one up to which the catalog, or the listing that is being merged, was complete before
-	// it; zero if it was not.
+	// one up to which the catalog was complete in this epoch before it; zero if it was not.
+	// In a first listing it is the position of the listing.
 	sourcePosition, completeTo Position
 }
 
--- a/internal/catalog/evacuation_test.go
+++ b/internal/catalog/evacuation_test.go
@@ -295,6 +295,25 @@
 	})
 }
 
+// TestRequestSeenInALaterListing guards against a request that is lost in a second restore
+// because a host that read it in a listing cannot tell it from a request of the first copy, and
+// takes the earlier removal of that one for the later write.
+func TestRequestSeenInALaterListing(t *testing.T) {
+	g := NewWithT(t)
+	saw, missed := New(Options{}), New(Options{})
+	for _, c := range []*Catalog{saw, missed} {
+		listRestored(c, start, restored(30), evacuate(restored(20), "a"))
+	}
+	saw.Apply(start, Update{Position: restored(31), Changes: []Change{withdraw(restored(31), "a")}})
+	listRestored(missed, start, restored(35))
+	listRestored(saw, start, restored(36), evacuate(restored(36), "a"))
+	for _, c := range []*Catalog{saw, missed} {
+		listRestored(c, start, Position{Epoch: 2, Revision: 35})
+	}
+	g.Expect(follow(saw, missed, start)).To(BeTrue())
+	g.Expect(evacuated(saw)).To(Equal([]string{"a"}))
+}
+
 // evacuationWrite is a request or a removal that the operator wrote.
 type evacuationWrite struct {
 	dataCentre string
--- a/internal/catalog/listing.go
+++ b/internal/catalog/listing.go
@@ -75,6 +75,9 @@
 	l := c.listing
 	c.recordContact(now, page.Age)
 	c.sourcePosition, c.completeTo = l.position, l.position
+	if c.position.Epoch == l.position.Epoch && c.Complete() {
+		c.completeTo = earlierOf(c.position, l.position)
+	}
 	if page.History != nil {
 		l.history = page.History
 		c.mergeFormer(now, page.History)
