catalog: give a kept evacuation the position of the store's request

Cause: a host that kept a request from before a restore, and read the restore from a host that overrides an older request of the copy, ignored that override as the earlier one. The request stayed without a position in the new epoch, so hosts that read this one never learned of it. Change: such an override tells that the store has the request; its position is taken. TestOverrideOfAnEarlierRemoval has the minimal case and fails without the change.

--- a/internal/catalog/evacuation.go
+++ b/internal/catalog/evacuation.go
@@ -174,6 +174,10 @@
 	}
 	if e.requested == r.Withdrawn {
 		if !r.Origin.After(e.origin) {
+			if r.Withdrawn {
+				// The store has the request that this catalog keeps.
+				c.setEvacuation(now, e, true, position, r.Age)
+			}
 			return
 		}
 		c.setEvacuation(now, e, !r.Withdrawn, position, r.Age)
--- a/internal/catalog/evacuation_test.go
+++ b/internal/catalog/evacuation_test.go
@@ -314,6 +314,23 @@
 	g.Expect(evacuated(saw)).To(Equal([]string{"a"}))
 }
 
+// TestOverrideOfAnEarlierRemoval covers a host that learns of a restore from one which
+// overrides a request of the copy and does not know that the request was written again. If
+// the request had no position, hosts that read this one would never learn of it.
+func TestOverrideOfAnEarlierRemoval(t *testing.T) {
+	g := NewWithT(t)
+	removed, again, started := New(Options{}), New(Options{}), New(Options{})
+	for _, c := range []*Catalog{removed, again} {
+		applyListing(c, start, 30, evacuate(at(20), "a"))
+		c.Apply(start, Update{Position: at(31), Changes: []Change{withdraw(at(31), "a")}})
+	}
+	again.Apply(start, Update{Position: at(32), Changes: []Change{evacuate(at(32), "a")}})
+	listRestored(removed, start, restored(30), evacuate(restored(20), "a"))
+	g.Expect(follow(again, removed, start)).To(BeTrue())
+	g.Expect(follow(started, again, start)).To(BeTrue())
+	g.Expect(evacuated(started)).To(Equal([]string{"a"}))
+}
+
 // evacuationWrite is a request or a removal that the operator wrote.
 type evacuationWrite struct {
 	dataCentre string
