catalog: do not take an inferred removal for a write after the restore

Cause: a host that knows only the removal of an earlier request gives it the position of the first listing after a restore. Another host that had read an earlier listing took that position for the one of a write of the new epoch, and gave up a later request that it kept. Change: the position of a removal that another host tells proves nothing; that host sets AfterRestore if it knows of a write. TestInferredRemovalIsNoWrite has the minimal case and fails without the change.

--- a/internal/catalog/evacuation.go
+++ b/internal/catalog/evacuation.go
@@ -108,7 +108,7 @@
 		c.mergeEvacuationOverride(now, e, change)
 		return
 	}
-	afterRestore := r.AfterRestore || c.writtenAfterRestore(position)
+	afterRestore := r.AfterRestore || c.writtenAfterRestore(change)
 	fromBefore := e.beforeRestore || e.overrides()
 	switch {
 	case position == e.position && e.overrides() && (afterRestore || r.Origin.After(e.origin)):
@@ -140,11 +140,14 @@
 	e.origin, e.afterRestore = origin, afterRestore
 }
 
-// writtenAfterRestore reports whether a record at the position is known to have been
-// written since the last restore: the copy has nothing after a position up to which the
-// catalog was complete in this epoch.
-func (c *Catalog) writtenAfterRestore(position Position) bool {
-	return c.completeTo.Revision != 0 && position.After(c.completeTo)
+// writtenAfterRestore reports whether the record is known to have been written since the
+// last restore: the copy has nothing after a position up to which the catalog was complete in
+// this epoch. It cannot tell for a removal that another host tells, whose position may be that
+// of a listing which lacked the request; that host sets AfterRestore if it knows.
+func (c *Catalog) writtenAfterRestore(change *Change) bool {
+	r := change.Evacuation
+	inferred := r.Withdrawn && r.Origin.Revision != 0
+	return !inferred && c.completeTo.Revision != 0 && change.Position.After(c.completeTo)
 }
 
 // newerThan reports whether the record, which the store has at the position and which may
--- a/internal/catalog/evacuation_test.go
+++ b/internal/catalog/evacuation_test.go
@@ -331,6 +331,22 @@
 	g.Expect(evacuated(started)).To(Equal([]string{"a"}))
 }
 
+// TestInferredRemovalIsNoWrite guards against a request that is lost because another host, which
+// knows only an earlier removal, has read a later listing of the copy without the request.
+func TestInferredRemovalIsNoWrite(t *testing.T) {
+	g := NewWithT(t)
+	keeps, behind := New(Options{}), New(Options{})
+	for _, c := range []*Catalog{keeps, behind} {
+		applyListing(c, start, 10, evacuate(at(5), "a"))
+		c.Apply(start, Update{Position: at(20), Changes: []Change{withdraw(at(20), "a")}})
+	}
+	keeps.Apply(start, Update{Position: at(22), Changes: []Change{evacuate(at(22), "a")}})
+	listRestored(keeps, start, restored(20))
+	listRestored(behind, start, restored(25))
+	g.Expect(follow(keeps, behind, start)).To(BeTrue())
+	g.Expect(evacuated(keeps)).To(Equal([]string{"a"}))
+}
+
 // evacuationWrite is a request or a removal that the operator wrote.
 type evacuationWrite struct {
 	dataCentre string
