catalog: exchange former services of routes after a restore

Cause: after a restore the histories of all hosts that ran before begin with the configuration of the copy, and the positions of services dropped in the earlier epoch lie before every follower's. Two hosts that had seen different configurations and read the store by themselves never told each other, so packets of flows of a lost configuration were dropped where it had not been seen. Change: Have carries a digest of the former services. A host that has some from an earlier epoch sends its list to a follower with another digest, and reads a follower that has such ones. Measured: TestFormerServicesAreExchangedAfterARestore covers both directions and that the lists are sent once.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -141,7 +141,7 @@
 // Have returns the catalog's position and configuration version. From these, a source
 // determines which changes the catalog lacks.
 func (c *Catalog) Have() Have {
-	have := Have{Position: c.position, Version: c.Version(), Overrides: c.overrides + c.evacuationOverrides(), HistoryFrom: c.historyFrom}
+	have := Have{Position: c.position, Version: c.Version(), Overrides: c.overrides + c.evacuationOverrides(), HistoryFrom: c.historyFrom, Former: c.digestFormer()}
 	if c.operator.After(c.position) {
 		have.Ahead = c.operator
 	}
--- a/internal/catalog/change.go
+++ b/internal/catalog/change.go
@@ -63,6 +63,8 @@
 	// HistoryFrom is the position from which on the host knows all configurations in force
 	// and all removals of upstreams.
 	HistoryFrom Position
+	// Former identifies the former services that the host knows.
+	Former FormerDigest
 	// Ahead is the position up to which the host has the operator's records although its
 	// state is not complete that far; zero if it is.
 	Ahead Position
--- a/internal/catalog/history.go
+++ b/internal/catalog/history.go
@@ -44,6 +44,8 @@
 	former       map[formerKey]formerEntry
 	// formerServices are the former services for the view; nil if they have changed.
 	formerServices *FormerServices
+	// formerDigest identifies the former services; nil if they have changed.
+	formerDigest *FormerDigest
 }
 
 type formerKey struct {
@@ -119,7 +121,7 @@
 	if c.former == nil {
 		c.former = make(map[formerKey]formerEntry)
 	}
-	c.former[key] = e
+	c.former[key], c.formerDigest = e, nil
 }
 
 // limitFormer drops the earliest former services beyond maxFormerServices. The history is
@@ -135,7 +137,7 @@
 		}
 		delete(c.former, key)
 	}
-	c.formerServices, c.viewChanged = nil, true
+	c.formerServices, c.formerDigest, c.viewChanged = nil, nil, true
 }
 
 // expireFormer drops the former services whose flows have ended.
@@ -144,7 +146,7 @@
 	for key, e := range c.former {
 		if e.droppedAt.Before(limit) {
 			delete(c.former, key)
-			c.formerServices, c.viewChanged = nil, true
+			c.formerServices, c.formerDigest, c.viewChanged = nil, nil, true
 		}
 	}
 }
@@ -246,6 +248,7 @@
 	h := &History{From: laterOf(c.historyFrom, have.Position.Next())}
 	// The positions of changes that the store has lost tell nothing of what a host knows.
 	all := have.Version < c.Version() && c.configurationOverride
+	all = all || c.Have().KnowsOtherFormer(have)
 	if have.Position.Revision == 0 || c.offersHistory(have) {
 		all = true
 		h.From, h.Age = c.historyFrom, min(now.Sub(c.historySince), c.options.Retention)
--- a/internal/catalog/history_test.go
+++ b/internal/catalog/history_test.go
@@ -162,6 +162,28 @@
 	})
 }
 
+// TestFormerServicesAreExchangedAfterARestore covers hosts that saw different configurations
+// before a restore and then read the store by themselves: their histories begin alike, and the
+// positions of what was lost tell nothing. Each tells the other once.
+func TestFormerServicesAreExchangedAfterARestore(t *testing.T) {
+	g := NewWithT(t)
+	now := start.Add(3 * time.Second)
+	first, second := New(Options{}), New(Options{})
+	for c, service := range map[*Catalog]string{first: "a", second: "b"} {
+		applyListing(c, start, 5, routed(at(5), 1, service))
+		c.Apply(start, Update{Position: at(6), Changes: []Change{routed(at(6), 2, "c")}})
+		listRestored(c, now, restored(8), routed(restored(7), 2, "c"))
+	}
+	g.Expect(first.Have().HistoryFrom).To(Equal(second.Have().HistoryFrom))
+	g.Expect(follow(second, first, now)).To(BeTrue())
+	g.Expect(follow(first, second, now)).To(BeTrue())
+	for c, other := range map[*Catalog]*Catalog{first: second, second: first} {
+		g.Expect(formerOf(c)).To(Equal("ab"))
+		update, _ := c.ChangesSince(now, other.Have())
+		g.Expect(update.History).To(BeNil())
+	}
+}
+
 func TestFormerServicesAreBoundedInTime(t *testing.T) {
 	g := NewWithT(t)
 	c := New(Options{Retention: RetentionOf(10 * time.Second)})
--- a/internal/catalog/restore.go
+++ b/internal/catalog/restore.go
@@ -23,7 +23,7 @@
 // they are known to be older.
 func (c *Catalog) restore(now time.Time, position Position) {
 	c.recordEvent(Event{Kind: StoreRestored, Position: position, PreviousPosition: c.position})
-	c.epoch = position.Epoch
+	c.epoch, c.formerDigest = position.Epoch, nil
 	c.restoredAt, c.recoveredAt = now, now
 	first := Position{Epoch: position.Epoch}
 	for _, e := range c.upstreams {
--- a/internal/feed/consult.go
+++ b/internal/feed/consult.go
@@ -37,7 +37,8 @@
 	case have.Version > own.Version || epoch > own.Position.Epoch:
 		return true
 	default:
-		return epoch == own.Position.Epoch && (have.Overrides > own.Overrides || have.KnowsEarlier(own))
+		return epoch == own.Position.Epoch && (have.Overrides > own.Overrides || have.KnowsEarlier(own) ||
+			have.Former.Count >= own.Former.Count && have.KnowsOtherFormer(own))
 	}
 }
 
--- a/internal/feed/epoch_test.go
+++ b/internal/feed/epoch_test.go
@@ -128,6 +128,20 @@
 	g.Expect(last.Former.Has(address, "desk")).To(BeTrue())
 }
 
+// TestFollowerWithLostFormerServices covers a follower that saw configurations which the store
+// has lost, and guards against calls to one that has nothing to tell.
+func TestFollowerWithLostFormerServices(t *testing.T) {
+	for former, watches := range map[catalog.FormerDigest]int{{Count: 1, Lost: 1, Sum: 7}: 1, {Count: 1, Sum: 7}: 0, {Lost: 1}: 0} {
+		f := newTestFeed(t)
+		f.poll()
+		have := f.feed.have()
+		have.Former = former
+		f.feed.NoteFollower("a-1", have)
+		f.poll()
+		NewWithT(t).Expect(f.peer.watches).To(HaveLen(watches), "%+v", former)
+	}
+}
+
 // TestFollowerIsNotReadDuringAListing covers a follower that knows more while this host is
 // between two pages.
 func TestFollowerIsNotReadDuringAListing(t *testing.T) {
