edge: try settings again that were replaced while they were read

Cause: the reloader reads the file twice, once to compare and once to parse it. If it was missing the second time, its new content counted as refused and was not tried again when it came back unchanged. A file that could not be read for another reason than its absence was never reported. The error that NewReloader discards is no loss: a file that cannot be read then is applied once it can be. forward/sender.go has no fault of this kind: each message is sent once, and failed and dropped ones count. Measured: TestReloaderOfAnUnreadableFile fails without the change.

--- a/internal/edge/reloader.go
+++ b/internal/edge/reloader.go
@@ -3,6 +3,8 @@
 import (
 	"bytes"
 	"context"
+	"errors"
+	"io/fs"
 	"os"
 	"time"
 
@@ -23,6 +25,8 @@
 	logger zerolog.Logger
 	// content is the content that was last applied or refused.
 	content []byte
+	// unreadable is set while the file is there but cannot be read.
+	unreadable bool
 	// requested receives a value when an operator requests a reload.
 	requested chan struct{}
 }
@@ -60,12 +64,14 @@
 }
 
 // reload applies the file if it has changed, or unconditionally if forced. Unless
-// forced, it ignores a file that cannot be read, because the file may be missing while
-// it is replaced.
+// forced, it ignores a file that is missing, because it may just be replaced, and reports
+// another failure to read it once.
 func (r *Reloader) reload(cause string, forced bool) {
 	content, err := r.readFile()
+	reported := r.unreadable
+	r.unreadable = err != nil && !errors.Is(err, fs.ErrNotExist)
 	if err != nil {
-		if forced {
+		if forced || r.unreadable && !reported {
 			r.logRefused(cause, err)
 		}
 		return
@@ -73,8 +79,11 @@
 	if !forced && bytes.Equal(content, r.content) {
 		return
 	}
-	r.content = content
 	s, err := r.load(r.path)
+	if errors.Is(err, fs.ErrNotExist) && !forced {
+		return // replaced since it was read: the next poll tries again
+	}
+	r.content = content
 	if err == nil {
 		err = r.apply(s)
 	}
--- a/internal/edge/reloader_test.go
+++ b/internal/edge/reloader_test.go
@@ -94,6 +94,34 @@
 	g.Expect(applied).To(HaveLen(2), "a file that is missing, as while it is replaced, changes nothing")
 }
 
+// TestReloaderOfAnUnreadableFile guards against a change that is lost because the file was
+// replaced between two reads of it, and against a file that cannot be read without a word.
+func TestReloaderOfAnUnreadableFile(t *testing.T) {
+	g := NewWithT(t)
+	var log bytes.Buffer
+	applied := 0
+	path := writeTempSettings(t, testSettings)
+	r := NewReloader(path, func(settings.Edge) error { applied++; return nil }, zerolog.New(&log))
+	changed := strings.Replace(testSettings, "7004", "7999", 1)
+	writeFile(t, path, changed)
+	r.load = func(path string) (settings.Edge, error) {
+		g.Expect(os.Remove(path)).To(Succeed())
+		return settings.LoadEdge(path)
+	}
+	r.reload("file", false)
+	g.Expect(log.String()).To(BeEmpty())
+	r.load = settings.LoadEdge
+	writeFile(t, path, changed)
+	r.reload("file", false)
+	g.Expect(applied).To(Equal(1))
+
+	g.Expect(os.Remove(path)).To(Succeed())
+	g.Expect(os.Mkdir(path, 0o700)).To(Succeed())
+	r.reload("file", false)
+	r.reload("file", false)
+	g.Expect(strings.Count(log.String(), "settings_refused")).To(Equal(1))
+}
+
 func TestRestartRequired(t *testing.T) {
 	before, err := settings.LoadEdge(writeTempSettings(t, testSettings))
 	if err != nil {
