settings: refuse infinite rates and addresses without a port

Cause: lines_per_second and bytes_per_second accepted +Inf, and addresses port 0. A store cannot be reached at port 0, and nobody learns the free port that a host takes. Change: both are refused. Port 0 stays valid for listening on loopback, where trials and tests let the system choose a port.

--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -71,10 +71,16 @@
 	}
 }
 
-// advertisedAddress reports an address that other hosts cannot connect to because it
-// is missing or unspecified, such as 0.0.0.0.
+// canListen reports whether the address is one that other hosts can connect to: it is neither
+// missing nor unspecified, such as 0.0.0.0. Port 0, for any free port, is for trials on
+// loopback.
+func canListen(address netip.AddrPort) bool {
+	return address.IsValid() && !address.Addr().IsUnspecified() && (address.Port() != 0 || address.Addr().IsLoopback())
+}
+
+// advertisedAddress reports an address that other hosts cannot connect to.
 func (c *checker) advertisedAddress(key string, address netip.AddrPort) {
-	if !address.IsValid() || address.Addr().IsUnspecified() {
+	if !canListen(address) {
 		c.report("listen", key, fmt.Sprintf("%s cannot be advertised to other hosts", address), "write the IP:port that other hosts reach, such as 10.20.1.1:7401")
 	}
 }
--- a/internal/settings/edge_check.go
+++ b/internal/settings/edge_check.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"net/netip"
 	"slices"
 	"time"
@@ -22,15 +23,15 @@
 	c := &checker{}
 	c.name("id", s.Host.ID)
 	c.name("data_centre", s.Host.DataCentre)
-	c.usableAddress("listen", "packet", s.Listen.Packet)
-	c.usableAddress("listen", "peer", s.Listen.Peer)
-	c.usableAddress("listen", "ready", s.Listen.Ready)
-	c.usableAddress("store", "address", s.Store.Address)
+	c.listenAddress("packet", s.Listen.Packet)
+	c.listenAddress("peer", s.Listen.Peer)
+	c.listenAddress("ready", s.Listen.Ready)
+	c.storeAddress("address", s.Store.Address)
 	if s.Listen.Seed.IsValid() {
-		c.usableAddress("listen", "seed", s.Listen.Seed)
+		c.listenAddress("seed", s.Listen.Seed)
 	}
 	for _, address := range s.Store.Seeds {
-		c.usableAddress("store", "seeds", address)
+		c.storeAddress("seeds", address)
 	}
 	if len(s.Store.Seeds) > maxSeeds {
 		c.report("store", "seeds", fmt.Sprintf("%d addresses are too many", len(s.Store.Seeds)), fmt.Sprintf("write at most %d", maxSeeds))
@@ -56,16 +57,27 @@
 	return c.problems.Err()
 }
 
-// usableAddress reports an address that is missing or unspecified, such as 0.0.0.0.
-func (c *checker) usableAddress(section, key string, address netip.AddrPort) {
-	if !address.IsValid() || address.Addr().IsUnspecified() {
-		c.report(section, key, fmt.Sprintf("%s is not a usable address", address), "write IP:port, such as 10.20.1.1:7401")
+// listenAddress checks an address at which this host listens.
+func (c *checker) listenAddress(key string, address netip.AddrPort) {
+	if !canListen(address) {
+		c.unusableAddress("listen", key, address)
 	}
 }
 
-// positive checks that a number is above 0.
+// storeAddress checks an address of section store, to which this host connects.
+func (c *checker) storeAddress(key string, address netip.AddrPort) {
+	if !canListen(address) || address.Port() == 0 {
+		c.unusableAddress("store", key, address)
+	}
+}
+
+func (c *checker) unusableAddress(section, key string, address netip.AddrPort) {
+	c.report(section, key, fmt.Sprintf("%s is not a usable address", address), "write IP:port, such as 10.20.1.1:7401")
+}
+
+// positive checks that a number is above 0 and finite.
 func (c *checker) positive(section, key string, value float64) {
-	if !(value > 0) {
+	if !(value > 0) || math.IsInf(value, 1) {
 		c.report(section, key, fmt.Sprintf("%g is out of range", value), "write a number above 0")
 	}
 }
