dispatch: leave the default of the queue to the settings

Cause: dispatch had a default of 256 for the queue, the settings one of 64. The former took effect only for a queue of 0, which the settings accept: 256 requests waited where the operator allowed none. Change: dispatch has no default; a limit of zero lets no request wait. The clusters of the tests of dispatch, which relied on that default, state it themselves.

--- a/internal/dispatch/cluster_test.go
+++ b/internal/dispatch/cluster_test.go
@@ -72,11 +72,19 @@
 	limits        dispatch.Limits
 	upstreamQueue int
 	coldStart     time.Duration
+	// noQueue leaves limits.QueueLimit at zero instead of testQueueLimit.
+	noQueue bool
 }
 
+// testQueueLimit lets all requests of most tests wait.
+const testQueueLimit = 256
+
 func newCluster(t testing.TB, o clusterOptions) *cluster {
 	t.Helper()
 	o.limits.QuietPeriod = 20 * time.Millisecond
+	if !o.noQueue && o.limits.QueueLimit == 0 {
+		o.limits.QueueLimit = testQueueLimit
+	}
 	c := &cluster{
 		t: t, limits: o.limits,
 		nodes:        make(map[host.ID]*node),
--- a/internal/dispatch/options.go
+++ b/internal/dispatch/options.go
@@ -18,7 +18,8 @@
 	"github.com/oatlatch/oatlatch/internal/peer"
 )
 
-// Options configures a Dispatcher. Limits that are zero take their defaults.
+// Options configures a Dispatcher. Limits that are zero take their defaults, except
+// Limits.QueueLimit.
 type Options struct {
 	Self       host.Host
 	Logger     zerolog.Logger
@@ -56,7 +57,8 @@
 	// MaxResponseBytes bounds the response to a non-idempotent request, which must fit
 	// into one message between hosts as well.
 	MaxResponseBytes int64
-	// QueueLimit bounds the requests that wait for a slot of one service.
+	// QueueLimit bounds the requests that wait for a slot of one service; zero lets none
+	// wait. Its default is that of the settings.
 	QueueLimit int
 	// TicketLifetime is the time after which an unused ticket expires.
 	TicketLifetime time.Duration
@@ -83,7 +85,6 @@
 	defaultMaxHeaderBytes   = 32 << 10
 	defaultMaxBodyBytes     = 512 << 10
 	defaultMaxResponseBytes = 512 << 10
-	defaultQueueLimit       = 256
 	defaultTicketLifetime   = 10 * time.Minute
 	defaultResultRetention  = 15 * time.Minute
 	defaultMaxResults       = 20_000
@@ -109,7 +110,6 @@
 	orDefault(&l.MaxHeaderBytes, defaultMaxHeaderBytes)
 	orDefault(&l.MaxBodyBytes, defaultMaxBodyBytes)
 	orDefault(&l.MaxResponseBytes, defaultMaxResponseBytes)
-	orDefault(&l.QueueLimit, defaultQueueLimit)
 	orDefault(&l.MaxResults, defaultMaxResults)
 	orDefault(&l.MaxResultBytes, defaultMaxResultBytes)
 	orDefault(&l.MaxTickets, defaultMaxTickets)
--- a/internal/dispatch/slots_test.go
+++ b/internal/dispatch/slots_test.go
@@ -59,6 +59,16 @@
 	}
 }
 
+// TestQueueOfZeroLetsNoRequestWait guards against a queue of 0 that is taken for a default:
+// requests then wait although the settings allow none.
+func TestQueueOfZeroLetsNoRequestWait(t *testing.T) {
+	c := newCluster(t, clusterOptions{hosts: 1, upstreams: 1, slots: 1, serviceTime: 20 * time.Millisecond, noQueue: true})
+	counts := sendConcurrently(c, 4, 1, http.MethodPost, time.Second)
+	if counts["not-run/queue-full"] == 0 {
+		t.Errorf("four requests at once for one slot: %v", counts)
+	}
+}
+
 func TestSlotsStayWithinTheBoundWhileHostsAreKilledAndRestarted(t *testing.T) {
 	c := newCluster(t, clusterOptions{hosts: 4, upstreams: 4, slots: 3, serviceTime: 3 * time.Millisecond, upstreamQueue: 1000})
 	r := recordHistory(c, 6, 100, deadlineWithFaults, func(r *rand.Rand) {
