catalog: report a refused configuration once

Cause: a configuration that is refused has no effect on the catalog's state, so each further answer with it was refused again: two watches deliver the operator's records, and every listing repeats them. The log had a configuration_refused line for each. Change: a configuration at the position of the last refused one is not reported again.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -55,6 +55,8 @@
 	// configurationOverride is set from a restore of the store until the store has the
 	// current configuration or a newer one.
 	configurationOverride bool
+	// refusedPosition is the position of the last configuration that was refused.
+	refusedPosition Position
 	// recentConfigurations are the last adopted configurations, including the
 	// current one. They serve as bases for deltas.
 	recentConfigurations []*Configuration
@@ -263,6 +265,10 @@
 		return
 	}
 	if configuration.Version < c.Version() {
+		if !position.After(c.refusedPosition) {
+			return // a second watch or a listing has repeated it
+		}
+		c.refusedPosition = position
 		c.recordEvent(Event{Kind: ConfigurationRefused, Position: position, Version: configuration.Version, PreviousVersion: c.Version()})
 		return
 	}
--- a/internal/catalog/catalog_test.go
+++ b/internal/catalog/catalog_test.go
@@ -78,6 +78,21 @@
 	})
 }
 
+// TestConfigurationIsRefusedOnce guards against a log line for each answer that delivers the
+// same refused configuration: the watch of the operator's records, that of all, and listings.
+func TestConfigurationIsRefusedOnce(t *testing.T) {
+	g := NewWithT(t)
+	c := New(Options{})
+	applyListing(c, start, 5, configuration(5, 4))
+	c.TakeEvents()
+	c.ApplyOperator(start, []Change{configuration(7, 3)})
+	c.Apply(start, Update{Position: at(7), Changes: []Change{configuration(7, 3)}})
+	applyListing(c, start, 8, configuration(7, 3))
+	g.Expect(c.TakeEvents()).To(HaveLen(1))
+	c.Apply(start, Update{Position: at(9), Changes: []Change{configuration(9, 3)}})
+	g.Expect(c.TakeEvents()).To(HaveLen(1), "the operator has written it again")
+}
+
 func TestRemovalIsKeptUntilRetentionEnds(t *testing.T) {
 	g := NewWithT(t)
 	c := New(Options{})
--- a/internal/catalog/restore.go
+++ b/internal/catalog/restore.go
@@ -36,7 +36,7 @@
 	}
 	c.restoreEvacuations(first)
 	c.position, c.compactedPosition, c.newest, c.operator = first, first, first, first
-	c.configurationPosition, c.configurationOverride = first, c.configuration != nil
+	c.configurationPosition, c.refusedPosition, c.configurationOverride = first, first, c.configuration != nil
 	c.snapshot, c.snapshotPosition = StoredSnapshot{}, first
 	c.peerKeyPosition, c.peerKeyBeforeRestore = first, c.peerKey != nil
 	c.viewChanged = true
