cmd/oatlatch: say "nothing published" only where it was asked for

Cause: printError ended every list of problems with "nothing published", also after check. Change: publish wraps the error of its check; the summary follows that. Measured: TestOnlyPublishReportsThatNothingWasPublished fails without the change.

--- a/cmd/oatlatch/print_error.go
+++ b/cmd/oatlatch/print_error.go
@@ -8,6 +8,9 @@
 	"github.com/oatlatch/oatlatch"
 )
 
+// errNotPublished is wrapped by the errors of a command that was to publish.
+var errNotPublished = errors.New("nothing published")
+
 // printError prints an error. Problems in service files are printed one per line
 // without a prefix, so that editors and scripts can parse their positions, and are
 // followed by their number.
@@ -20,5 +23,9 @@
 	for _, problem := range problems {
 		fmt.Fprintln(w, problem.Error())
 	}
-	fmt.Fprintf(w, "oatlatch: %d problems, nothing published\n", len(problems))
+	summary := fmt.Sprintf("%d problems", len(problems))
+	if errors.Is(err, errNotPublished) {
+		summary += ", " + errNotPublished.Error()
+	}
+	fmt.Fprintf(w, "oatlatch: %s\n", summary)
 }
--- a/cmd/oatlatch/publish.go
+++ b/cmd/oatlatch/publish.go
@@ -28,7 +28,7 @@
 func (c *publishCommand) Run(ctx context.Context) error {
 	services, err := oatlatch.Collect(c.Dirs)
 	if err != nil {
-		return err
+		return fmt.Errorf("%w: %w", errNotPublished, err)
 	}
 	seed := uint64(time.Now().UnixNano())
 	result, err := oatlatch.Publish(ctx, c.options(seed), oatlatch.PublishOptions{
--- a/cmd/oatlatch/publish_test.go
+++ b/cmd/oatlatch/publish_test.go
@@ -86,6 +86,25 @@
 	}
 }
 
+// TestOnlyPublishReportsThatNothingWasPublished guards against a message about a publication
+// that nobody asked for.
+func TestOnlyPublishReportsThatNothingWasPublished(t *testing.T) {
+	dir := t.TempDir()
+	if err := os.WriteFile(filepath.Join(dir, "a.oatlatch"), []byte("[service]\n"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	for want, err := range map[string]error{
+		" problems\n":                    (&checkFilesCommand{Dirs: []string{dir}}).Run(),
+		" problems, nothing published\n": publishDirs(startPlatform(t), dir).Run(context.Background()),
+	} {
+		var out strings.Builder
+		printError(&out, err)
+		if !strings.HasSuffix(out.String(), want) {
+			t.Errorf("want %q at the end of\n%s", want, out.String())
+		}
+	}
+}
+
 func TestConflictErrorNamesTheOtherOperator(t *testing.T) {
 	server := startPlatform(t)
 	if err := publishDirs(server, "../../examples/amarres").Run(context.Background()); err != nil {
