ticket: bound the window of a ledger that another host hands over

Cause: the window of a transfer was taken as it came. One that lacked words up to the last ticket issued grew at the next use by as many, which a transfer with a large sequence turns into any amount of memory; one that began too late, or at a sequence that is no multiple of its words, gave wrong states. Change: the window is trimmed to its limit. If it is malformed nonetheless, no unused ticket of the ledger is dispatched.

--- a/internal/ticket/handover.go
+++ b/internal/ticket/handover.go
@@ -48,6 +48,12 @@
 	l.lastIssued = t.Next
 	l.window = t.Window
 	l.exclusive = t.Exclusive
+	l.window.Trim(l.lastIssued, options.MaxWords)
+	if !l.window.wellFormed(l.lastIssued, options.MaxWords) {
+		// Which tickets were used is unknown, so none may be dispatched.
+		l.window, l.exclusive = Window{}, false
+		l.window.Trim(l.lastIssued, options.MaxWords)
+	}
 	for _, record := range t.Records {
 		l.records[record.Sequence] = &record
 		l.recordOrder = append(l.recordOrder, record.Sequence)
--- a/internal/ticket/window.go
+++ b/internal/ticket/window.go
@@ -72,5 +72,11 @@
 	w.Base = (first + drop) * statesPerWord
 }
 
+// wellFormed reports whether the window has at most maxWords words and does not begin after
+// the newest sequence.
+func (w *Window) wellFormed(newest uint64, maxWords int) bool {
+	return w.Base%statesPerWord == 0 && w.Base <= newest && len(w.Words) <= maxWords
+}
+
 // bitOffset returns the position of the state in its word.
 func bitOffset(sequence uint64) uint64 { return sequence % statesPerWord * bitsPerState }
