catalog: adopt a kept evacuation over an earlier removal

Cause: a request that the store lost is kept and told to others at revision 0 of the epoch. A host that knew an earlier removal had put that at the position of its first listing, and ignored the later request as one before that position. Change: only a removal known to have been written after the restore, or a request of the store, has a position that counts against it; otherwise the origins decide, as evacuation.md says. Measured: TestRequestSeenInALaterListing fails at its new step without the change.

--- a/internal/catalog/evacuation.go
+++ b/internal/catalog/evacuation.go
@@ -163,7 +163,10 @@
 // position of the change, says the opposite.
 func (c *Catalog) mergeEvacuationOverride(now time.Time, e *evacuationEntry, change *Change) {
 	r, position := change.Evacuation, change.Position
-	if r.KeptFor >= outdatedRecordLimit || e.settled || e.position.After(position) {
+	// A removal that is not known to have been written after the restore has the position of
+	// a listing that lacked the request, as it does for the source: the origin decides.
+	outdated := e.position.After(position) && (r.Withdrawn || e.requested || e.afterRestore)
+	if r.KeptFor >= outdatedRecordLimit || e.settled || outdated {
 		return
 	}
 	if r.Withdrawn && position.After(e.position) && !position.After(c.position) {
--- a/internal/catalog/evacuation_test.go
+++ b/internal/catalog/evacuation_test.go
@@ -312,6 +312,8 @@
 	}
 	g.Expect(follow(saw, missed, start)).To(BeTrue())
 	g.Expect(evacuated(saw)).To(Equal([]string{"a"}))
+	g.Expect(follow(missed, saw, start)).To(BeTrue())
+	g.Expect(evacuated(missed)).To(Equal([]string{"a"}), "a kept request counts also where only an earlier removal is known")
 }
 
 // TestOverrideOfAnEarlierRemoval covers a host that learns of a restore from one which
