--- a/internal/catalog/evacuation.go
+++ b/internal/catalog/evacuation.go
@@ -78,8 +78,8 @@
 type evacuationState struct {
 	evacuations map[string]*evacuationEntry
 	// sourcePosition is the position of the answer that is being merged, and completeTo the
-	// one up to which the catalog, or the listing that is being merged, was complete before
-	// it; zero if it was not.
+	// one up to which the catalog was complete in this epoch before it; zero if it was not.
+	// In a first listing it is the position of the listing.
 	sourcePosition, completeTo Position
 }
 
@@ -108,7 +108,7 @@
 		c.mergeEvacuationOverride(now, e, change)
 		return
 	}
-	afterRestore := r.AfterRestore || c.writtenAfterRestore(position)
+	afterRestore := r.AfterRestore || c.writtenAfterRestore(change)
 	fromBefore := e.beforeRestore || e.overrides()
 	switch {
 	case position == e.position && e.overrides() && (afterRestore || r.Origin.After(e.origin)):
@@ -140,11 +140,14 @@
 	e.origin, e.afterRestore = origin, afterRestore
 }
 
-// writtenAfterRestore reports whether a record at the position is known to have been
-// written since the last restore: the copy has nothing after a position up to which the
-// catalog was complete in this epoch.
-func (c *Catalog) writtenAfterRestore(position Position) bool {
-	return c.completeTo.Revision != 0 && position.After(c.completeTo)
+// writtenAfterRestore reports whether the record is known to have been written since the
+// last restore: the copy has nothing after a position up to which the catalog was complete in
+// this epoch. It cannot tell for a removal that another host tells, whose position may be that
+// of a listing which lacked the request; that host sets AfterRestore if it knows.
+func (c *Catalog) writtenAfterRestore(change *Change) bool {
+	r := change.Evacuation
+	inferred := r.Withdrawn && r.Origin.Revision != 0
+	return !inferred && c.completeTo.Revision != 0 && change.Position.After(c.completeTo)
 }
 
 // newerThan reports whether the record, which the store has at the position and which may
@@ -160,11 +163,27 @@
 // position of the change, says the opposite.
 func (c *Catalog) mergeEvacuationOverride(now time.Time, e *evacuationEntry, change *Change) {
 	r, position := change.Evacuation, change.Position
-	if r.KeptFor >= outdatedRecordLimit || e.settled || e.position.After(position) {
+	// A removal that is not known to have been written after the restore has the position of
+	// a listing that lacked the request, as it does for the source: the origin decides.
+	outdated := e.position.After(position) && (r.Withdrawn || e.requested || e.afterRestore)
+	if r.KeptFor >= outdatedRecordLimit || e.settled || outdated {
+		return
+	}
+	if r.Withdrawn && position.After(e.position) && !position.After(c.position) {
+		// The catalog is complete beyond the stored request that the source overrides, and
+		// does not know it: the store has removed it since.
+		if r.Origin.After(e.origin) && (!e.requested || e.overrides()) {
+			c.setEvacuation(now, e, false, c.position, r.Age)
+			e.origin = r.Origin
+		}
 		return
 	}
 	if e.requested == r.Withdrawn {
 		if !r.Origin.After(e.origin) {
+			if r.Withdrawn {
+				// The store has the request that this catalog keeps.
+				c.setEvacuation(now, e, true, position, r.Age)
+			}
 			return
 		}
 		c.setEvacuation(now, e, !r.Withdrawn, position, r.Age)
--- a/internal/catalog/evacuation_test.go
+++ b/internal/catalog/evacuation_test.go
@@ -238,6 +238,30 @@
 	g.Expect(evacuated(parent)).To(Equal([]string{"removed"}), "a host whose clock is behind must not start it again")
 }
 
+// TestOverrideOfRemovedRequest covers a host that has read the store after a request of the
+// copy was removed, and then a host that still overrides that request. If it took over the
+// override, the evacuation would be in force again once the override ends.
+func TestOverrideOfRemovedRequest(t *testing.T) {
+	for name, known := range map[string][]Change{"request known": {evacuate(at(30), "a")}, "nothing known": nil} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			behind, ahead := New(Options{}), New(Options{})
+			applyListing(behind, start, 80, evacuate(at(30), "a"))
+			behind.Apply(start, Update{Position: at(81), Changes: []Change{withdraw(at(81), "a")}})
+			listRestored(behind, start, restored(40), evacuate(restored(30), "a"))
+			applyListing(ahead, start, 80, known...)
+			listRestored(ahead, start, restored(41))
+			g.Expect(follow(ahead, behind, start)).To(BeTrue())
+			g.Expect(ahead.Have().Overrides).To(BeZero())
+			g.Expect(follow(behind, ahead, start)).To(BeTrue())
+			for _, c := range []*Catalog{behind, ahead} {
+				c.expireEntries(start.Add(outdatedRecordLimit))
+				g.Expect(evacuated(c)).To(BeEmpty())
+			}
+		})
+	}
+}
+
 // TestWriteAfterRestoreEndsWhatAnotherHostKeeps covers a host that took a record of the new
 // epoch for one of the copy, or missed a removal, because it read the store later: hosts
 // that saw the write tell it.
@@ -271,6 +295,60 @@
 	})
 }
 
+// TestRequestSeenInALaterListing guards against a request that is lost in a second restore
+// because a host that read it in a listing cannot tell it from a request of the first copy, and
+// takes the earlier removal of that one for the later write.
+func TestRequestSeenInALaterListing(t *testing.T) {
+	g := NewWithT(t)
+	saw, missed := New(Options{}), New(Options{})
+	for _, c := range []*Catalog{saw, missed} {
+		listRestored(c, start, restored(30), evacuate(restored(20), "a"))
+	}
+	saw.Apply(start, Update{Position: restored(31), Changes: []Change{withdraw(restored(31), "a")}})
+	listRestored(missed, start, restored(35))
+	listRestored(saw, start, restored(36), evacuate(restored(36), "a"))
+	for _, c := range []*Catalog{saw, missed} {
+		listRestored(c, start, Position{Epoch: 2, Revision: 35})
+	}
+	g.Expect(follow(saw, missed, start)).To(BeTrue())
+	g.Expect(evacuated(saw)).To(Equal([]string{"a"}))
+	g.Expect(follow(missed, saw, start)).To(BeTrue())
+	g.Expect(evacuated(missed)).To(Equal([]string{"a"}), "a kept request counts also where only an earlier removal is known")
+}
+
+// TestOverrideOfAnEarlierRemoval covers a host that learns of a restore from one which
+// overrides a request of the copy and does not know that the request was written again. If
+// the request had no position, hosts that read this one would never learn of it.
+func TestOverrideOfAnEarlierRemoval(t *testing.T) {
+	g := NewWithT(t)
+	removed, again, started := New(Options{}), New(Options{}), New(Options{})
+	for _, c := range []*Catalog{removed, again} {
+		applyListing(c, start, 30, evacuate(at(20), "a"))
+		c.Apply(start, Update{Position: at(31), Changes: []Change{withdraw(at(31), "a")}})
+	}
+	again.Apply(start, Update{Position: at(32), Changes: []Change{evacuate(at(32), "a")}})
+	listRestored(removed, start, restored(30), evacuate(restored(20), "a"))
+	g.Expect(follow(again, removed, start)).To(BeTrue())
+	g.Expect(follow(started, again, start)).To(BeTrue())
+	g.Expect(evacuated(started)).To(Equal([]string{"a"}))
+}
+
+// TestInferredRemovalIsNoWrite guards against a request that is lost because another host, which
+// knows only an earlier removal, has read a later listing of the copy without the request.
+func TestInferredRemovalIsNoWrite(t *testing.T) {
+	g := NewWithT(t)
+	keeps, behind := New(Options{}), New(Options{})
+	for _, c := range []*Catalog{keeps, behind} {
+		applyListing(c, start, 10, evacuate(at(5), "a"))
+		c.Apply(start, Update{Position: at(20), Changes: []Change{withdraw(at(20), "a")}})
+	}
+	keeps.Apply(start, Update{Position: at(22), Changes: []Change{evacuate(at(22), "a")}})
+	listRestored(keeps, start, restored(20))
+	listRestored(behind, start, restored(25))
+	g.Expect(follow(keeps, behind, start)).To(BeTrue())
+	g.Expect(evacuated(keeps)).To(Equal([]string{"a"}))
+}
+
 // evacuationWrite is a request or a removal that the operator wrote.
 type evacuationWrite struct {
 	dataCentre string
--- a/internal/catalog/restore.go
+++ b/internal/catalog/restore.go
@@ -23,7 +23,7 @@
 // they are known to be older.
 func (c *Catalog) restore(now time.Time, position Position) {
 	c.recordEvent(Event{Kind: StoreRestored, Position: position, PreviousPosition: c.position})
-	c.epoch = position.Epoch
+	c.epoch, c.formerDigest = position.Epoch, nil
 	c.restoredAt, c.recoveredAt = now, now
 	first := Position{Epoch: position.Epoch}
 	for _, e := range c.upstreams {
@@ -36,7 +36,7 @@
 	}
 	c.restoreEvacuations(first)
 	c.position, c.compactedPosition, c.newest, c.operator = first, first, first, first
-	c.configurationPosition, c.configurationOverride = first, c.configuration != nil
+	c.configurationPosition, c.refusedPosition, c.configurationOverride = first, first, c.configuration != nil
 	c.snapshot, c.snapshotPosition = StoredSnapshot{}, first
 	c.peerKeyPosition, c.peerKeyBeforeRestore = first, c.peerKey != nil
 	c.viewChanged = true
@@ -99,6 +99,13 @@
 	e.position, e.beforeRestore, e.settled = position, false, false
 }
 
+// overridesRemoved reports whether the change, of an upstream that the catalog does not know,
+// overrides a record that the store no longer has: a catalog that is complete beyond the
+// record's position would know the record. The source has not read its removal yet.
+func (c *Catalog) overridesRemoved(change *Change) bool {
+	return change.Override && !change.Position.After(c.position)
+}
+
 // storedOr returns the store's record, or the fallback if the source does not know it.
 func (change *Change) storedOr(fallback *Upstream) Upstream {
 	if change.Stored != nil {
