--- a/internal/evidencerpc/fuzz_test.go
+++ b/internal/evidencerpc/fuzz_test.go
@@ -55,6 +55,8 @@
 	return nil
 }
 
+func (c *numberChecker) EvidenceLifetime() time.Duration { return time.Second }
+
 func (c *numberChecker) SetEvidence(_ time.Time, entries []evidence.Entry) {
 	for _, e := range entries {
 		if e.Answers != e.Answers || e.Failed != e.Failed {
