catalog: find the changes since a position without a scan of all records

Cause: ChangesSince sorted the names of all upstreams and hosts on each call, also for a follower that lacks nothing. Change: upstreams and hosts are listed in the order of their last changes. A call visits those after the caller's position only. Overrides and a whole history, which are needed for seconds after a restore or a start, still take a scan. What a call returns and its order are unchanged.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -62,6 +62,8 @@
 	// overrides is the number of upstreams with an override.
 	overrides int
 	hosts     map[string]hostEntry
+	// upstreamOrder and hostOrder list the upstreams and hosts by their last changes.
+	upstreamOrder, hostOrder changeOrder
 	peerKeyState
 	evacuationState
 	historyState
@@ -230,13 +232,13 @@
 	case change.Configuration != nil:
 		c.adoptConfiguration(now, change.Configuration, change)
 	case change.Upstream != nil:
-		c.registerUpstream(now, change)
+		c.keepingOrder(change.Upstream.Name, func() { c.registerUpstream(now, change) })
 	case change.Removed != "":
 		if change.Lapsed {
 			// The sending host has seen an outage end, even if this one has not.
 			c.recoveredAt = now
 		}
-		c.unregisterUpstream(now, change)
+		c.keepingOrder(change.Removed, func() { c.unregisterUpstream(now, change) })
 	case change.Host != nil:
 		c.setHost(now, hostEntry{Host: *change.Host, position: change.Position})
 	case change.HostRemoved != "":
@@ -292,6 +294,7 @@
 	}
 	h.changedAt, h.Registered = now, h.position
 	c.hosts[h.Name] = h
+	c.noteHost(h.Name)
 	c.recordHostEvent(h)
 	c.viewChanged = true
 }
@@ -308,6 +311,7 @@
 		case e.Presence == Lapsed && now.Sub(c.recoveredAt) >= RecoveryGracePeriod:
 			c.setPresence(now, e, Departed, laterOf(e.position, c.position))
 			e.departureInferred = true
+			c.noteUpstream(name)
 		case e.override != nil:
 			if now.Sub(e.override.since) >= outdatedRecordLimit {
 				stored := e.override.stored
--- a/internal/catalog/listing.go
+++ b/internal/catalog/listing.go
@@ -125,6 +125,7 @@
 	for name, e := range c.upstreams {
 		if _, ok := l.upstreams[name]; !ok && !e.position.After(l.position) {
 			c.markUnregistered(now, e, l.position)
+			c.noteUpstream(name)
 		}
 	}
 	for name, h := range c.hosts {
--- a/internal/catalog/restore.go
+++ b/internal/catalog/restore.go
@@ -26,13 +26,15 @@
 	c.epoch = position.Epoch
 	c.restoredAt, c.recoveredAt = now, now
 	first := Position{Epoch: position.Epoch}
-	for _, e := range c.upstreams {
+	for name, e := range c.upstreams {
 		c.clearOverride(e)
 		e.position, e.departureInferred, e.beforeRestore, e.settled = first, false, true, false
+		c.noteUpstream(name)
 	}
 	for name, h := range c.hosts {
 		h.position = first
 		c.hosts[name] = h
+		c.noteHost(name)
 	}
 	c.restoreEvacuations(first)
 	c.position, c.compactedPosition, c.newest, c.operator = first, first, first, first
--- a/internal/catalog/snapshot.go
+++ b/internal/catalog/snapshot.go
@@ -34,16 +34,19 @@
 		changes = append(changes, c.configurationChange(have.Version))
 	}
 	changes = append(changes, c.evacuationChanges(now, have)...)
-	for _, name := range slices.Sorted(maps.Keys(c.hosts)) {
-		if h := c.hosts[name]; h.position.After(position) {
+	for _, name := range c.hostOrder.namesFrom(position) {
+		if h, ok := c.hosts[name]; ok && h.position.After(position) {
 			changes = append(changes, hostChange(h))
 		}
 	}
-	for _, name := range slices.Sorted(maps.Keys(c.upstreams)) {
+	for _, name := range c.upstreamsFor(position, wholeHistory) {
 		// A host that knows less of the past lacks the removals of that time as well. An
 		// inferred departure has no store position of its own. It may carry the
 		// position that the other host has reached without it.
 		e := c.upstreams[name]
+		if e == nil {
+			continue // it has been deleted
+		}
 		if e.position.After(position) || e.departureInferred && e.position == position || e.override != nil || wholeHistory && e.Presence != Registered {
 			changes = append(changes, upstreamChange(now, e))
 		}
@@ -51,6 +54,16 @@
 	return changes
 }
 
+// upstreamsFor returns the names, in order, of the upstreams of which a host at the position
+// may lack something. Overrides and the departures of the whole history are not ordered by
+// position, but are needed only for a short time after a restore or the start of a host.
+func (c *Catalog) upstreamsFor(position Position, wholeHistory bool) []string {
+	if wholeHistory || c.overrides > 0 {
+		return slices.Sorted(maps.Keys(c.upstreams))
+	}
+	return c.upstreamOrder.namesFrom(position)
+}
+
 // hostChange returns the entry as a change for another host.
 func hostChange(h hostEntry) Change {
 	if h.removed {
