peer: count calls and bytes by method

Cause: the metrics of peers told the bytes of all calls together, so nobody could tell what the control traffic of a host is for. Change: counters of calls and bytes by method and direction, on either side. A method that the build does not serve counts as unknown, so peers cannot create time series.

--- a/internal/peer/clientcodec.go
+++ b/internal/peer/clientcodec.go
@@ -37,17 +37,25 @@
 	// firstErr receives the first read or write error of the connection.
 	firstErr chan error
 
+	// current is the traffic of the call whose response is being read; nil if it is unknown.
+	current *methodTraffic
+	traffic *trafficMetrics
+
 	mu     sync.Mutex
 	writer *messageWriter
+	// awaited holds the traffic of the calls without a response by sequence number.
+	awaited map[uint64]*methodTraffic
 }
 
-func newClientCodec(conn net.Conn, limits Limits) *clientCodec {
+func newClientCodec(conn net.Conn, limits Limits, traffic *trafficMetrics) *clientCodec {
 	c := &clientCodec{
 		conn:           conn,
 		reader:         newMessageReader(conn, limits.MessageBytes),
 		messageTimeout: limits.MessageTimeout,
 		firstErr:       make(chan error, 1),
 		writer:         newMessageWriter(conn, limits.MessageBytes),
+		traffic:        traffic,
+		awaited:        make(map[uint64]*methodTraffic),
 	}
 	c.decoder = gob.NewDecoder(c.reader)
 	return c
@@ -68,7 +76,7 @@
 		return &Error{Kind: Cancelled}
 	}
 	outgoing.seq, outgoing.written = request.Seq, true
-	err := c.write(header, outgoing.args)
+	err := c.write(header, outgoing.args, c.traffic.method(request.ServiceMethod))
 	switch {
 	case err == nil:
 		return nil
@@ -87,18 +95,39 @@
 	if !outgoing.written {
 		return
 	}
-	if err := c.write(requestHeader{Seq: outgoing.seq, Cancel: true}, nil); err != nil {
+	if err := c.write(requestHeader{Seq: outgoing.seq, Cancel: true}, nil, c.traffic.method(outgoing.pending.method)); err != nil {
 		c.reportErr(err)
 	}
 }
 
-func (c *clientCodec) write(header requestHeader, body any) error {
+func (c *clientCodec) write(header requestHeader, body any, traffic *methodTraffic) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if err := c.conn.SetWriteDeadline(time.Now().Add(c.messageTimeout)); err != nil {
 		return errors.Join(errWrite, err)
 	}
-	return c.writer.write(header, body)
+	if !header.Cancel {
+		c.awaited[header.Seq] = traffic // before the response can arrive
+	}
+	if err := c.writer.write(header, body); err != nil {
+		delete(c.awaited, header.Seq)
+		return err
+	}
+	traffic.out.Add(float64(c.writer.sent))
+	if !header.Cancel {
+		traffic.calls.Inc()
+	}
+	return nil
+}
+
+// takeAwaited returns the traffic of a call whose response has begun, or nil if the server
+// answers a call that was not made.
+func (c *clientCodec) takeAwaited(seq uint64) *methodTraffic {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	traffic := c.awaited[seq]
+	delete(c.awaited, seq)
+	return traffic
 }
 
 // reportErr sends the error to firstErr unless an earlier one is waiting there.
@@ -125,6 +154,7 @@
 		return err
 	}
 	response.Seq = header.Seq
+	c.current = c.takeAwaited(header.Seq)
 	response.Error = header.Error
 	if header.Kind != "" {
 		response.Error = string(header.Kind) + kindSeparator + header.Error
@@ -139,6 +169,9 @@
 		c.reportErr(err)
 		return err
 	}
+	if c.current != nil {
+		c.current.in.Add(float64(c.reader.received()))
+	}
 	return c.conn.SetReadDeadline(time.Time{})
 }
 
--- a/internal/peer/clientconn.go
+++ b/internal/peer/clientconn.go
@@ -76,8 +76,8 @@
 	outstanding map[*pendingCall]struct{}
 }
 
-func newClientConn(remote host.ID, conn net.Conn, transport *countingConn, limits Limits, now func() time.Time) *clientConn {
-	codec := newClientCodec(conn, limits)
+func newClientConn(remote host.ID, conn net.Conn, transport *countingConn, limits Limits, traffic *trafficMetrics, now func() time.Time) *clientConn {
+	codec := newClientCodec(conn, limits, traffic)
 	return &clientConn{
 		remote:      remote,
 		transport:   transport,
--- a/internal/peer/endpoint.go
+++ b/internal/peer/endpoint.go
@@ -223,7 +223,7 @@
 		_ = raw.Close()
 		return nil, handshakeError(err)
 	}
-	return newClientConn(remote, conn, transport, limits, e.client.now), nil
+	return newClientConn(remote, conn, transport, limits, e.client.metrics.traffic, e.client.now), nil
 }
 
 // handshake performs the TLS handshake, if TLS is configured, and exchanges greetings.
--- a/internal/peer/messagereader.go
+++ b/internal/peer/messagereader.go
@@ -28,6 +28,9 @@
 	r.remaining = r.limit
 }
 
+// received returns the number of bytes of the current message that have been read.
+func (r *messageReader) received() int { return r.limit - r.remaining }
+
 // awaitMessage blocks until the first byte of a message has arrived.
 func (r *messageReader) awaitMessage() error {
 	_, err := r.in.Peek(1)
--- a/internal/peer/messagewriter.go
+++ b/internal/peer/messagewriter.go
@@ -22,6 +22,8 @@
 	// pendingDefinitions holds the gob type definitions of refused messages. The encoder
 	// emits each definition only once, so they are sent with the next message.
 	pendingDefinitions []byte
+	// sent is the size of the last message that was written.
+	sent int
 	// body is a buffer for the encoded body, reused for each message.
 	body []byte
 }
@@ -53,7 +55,7 @@
 	}
 	message := append(w.pendingDefinitions, w.buffer.Bytes()...)
 	message = append(message, w.body...)
-	w.pendingDefinitions = nil
+	w.pendingDefinitions, w.sent = nil, len(message)
 	if _, err := w.out.Write(message); err != nil {
 		return errors.Join(errWrite, err)
 	}
--- a/internal/peer/metrics.go
+++ b/internal/peer/metrics.go
@@ -14,11 +14,13 @@
 	connections prometheus.Gauge
 	inFlight    prometheus.Gauge
 	bytes       *prometheus.CounterVec
+	traffic     *trafficMetrics
 }
 
 func newServerMetrics(registerer prometheus.Registerer) *serverMetrics {
 	factory := promauto.With(registerer)
 	return &serverMetrics{
+		traffic: newTrafficMetrics(registerer, "server"),
 		refused: factory.NewCounterVec(prometheus.CounterOpts{
 			Name: "oatlatch_peer_server_refused_total",
 			Help: "Connections and messages of peers that were refused, by reason.",
@@ -49,11 +51,13 @@
 	connections prometheus.Gauge
 	inFlight    prometheus.Gauge
 	bytes       *prometheus.CounterVec
+	traffic     *trafficMetrics
 }
 
 func newClientMetrics(registerer prometheus.Registerer) *clientMetrics {
 	factory := promauto.With(registerer)
 	return &clientMetrics{
+		traffic: newTrafficMetrics(registerer, "client"),
 		calls: factory.NewCounterVec(prometheus.CounterOpts{
 			Name: "oatlatch_peer_client_calls_total",
 			Help: "Calls of peers by result; every result but ok is a refusal reason.",
--- a/internal/peer/servercodec.go
+++ b/internal/peer/servercodec.go
@@ -17,6 +17,8 @@
 	seq    uint64
 	ctx    context.Context
 	cancel context.CancelFunc
+	// traffic counts the bytes of the call's method.
+	traffic *methodTraffic
 }
 
 // serverCodec implements rpc.ServerCodec for one connection. It adds what net/rpc
@@ -30,6 +32,8 @@
 	decoder *gob.Decoder
 	limits  Limits
 	metrics *serverMetrics
+	// methods are the methods that the connection serves.
+	methods map[string]struct{}
 	// slots is a semaphore that limits the calls in flight. All connections of a peer
 	// share it.
 	slots chan struct{}
@@ -52,7 +56,7 @@
 	refusals map[uint64]Kind
 }
 
-func newServerCodec(ctx context.Context, conn net.Conn, limits Limits, metrics *serverMetrics, slots chan struct{}) *serverCodec {
+func newServerCodec(ctx context.Context, conn net.Conn, limits Limits, metrics *serverMetrics, methods map[string]struct{}, slots chan struct{}) *serverCodec {
 	ctx, cancel := context.WithCancel(ctx)
 	c := &serverCodec{
 		ctx:      ctx,
@@ -61,6 +65,7 @@
 		reader:   newMessageReader(conn, limits.MessageBytes),
 		limits:   limits,
 		metrics:  metrics,
+		methods:  methods,
 		slots:    slots,
 		writer:   newMessageWriter(conn, limits.MessageBytes),
 		calls:    make(map[uint64]callState),
@@ -191,7 +196,8 @@
 	ctx, cancel := context.WithTimeout(c.ctx, timeout)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.currentCall = callState{seq: header.Seq, ctx: ctx, cancel: cancel}
+	c.currentCall = callState{seq: header.Seq, ctx: ctx, cancel: cancel, traffic: c.trafficOf(header.Method)}
+	c.currentCall.traffic.calls.Inc()
 	c.calls[header.Seq] = c.currentCall
 	if c.draining {
 		c.refusals[header.Seq] = Closed
@@ -210,9 +216,18 @@
 	defer c.mu.Unlock()
 	if call, ok := c.calls[seq]; ok {
 		call.cancel()
+		call.traffic.in.Add(float64(c.reader.received()))
 	}
 }
 
+// trafficOf returns the traffic of a method.
+func (c *serverCodec) trafficOf(method string) *methodTraffic {
+	if _, ok := c.methods[method]; !ok {
+		method = unknownMethod
+	}
+	return c.metrics.traffic.method(method)
+}
+
 // ReadRequestBody reads the arguments, or discards them if body is nil or the call is
 // refused. If it returns an error, net/rpc sends that error as the response instead of
 // running the method.
@@ -225,6 +240,7 @@
 		c.fatalErr = io.EOF
 		return c.refuseCall(kind, err)
 	}
+	c.currentCall.traffic.in.Add(float64(c.reader.received()))
 	if kind := c.refusalKind(c.currentCall.seq); kind != "" {
 		return c.refuseCall(kind, nil)
 	}
@@ -283,8 +299,19 @@
 	c.metrics.calls.WithLabelValues(result).Inc()
 	if err != nil {
 		_ = c.conn.Close()
+		return err
+	}
+	c.countResponse(response.Seq)
+	return nil
+}
+
+// countResponse counts the bytes of the response that was written last. writeMu must be held.
+func (c *serverCodec) countResponse(seq uint64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if call, ok := c.calls[seq]; ok {
+		call.traffic.out.Add(float64(c.writer.sent))
 	}
-	return err
 }
 
 func (c *serverCodec) write(header responseHeader, body any) error {
--- a/internal/peer/serverconn.go
+++ b/internal/peer/serverconn.go
@@ -5,6 +5,7 @@
 	"crypto/tls"
 	"crypto/x509"
 	"errors"
+	"maps"
 	"net"
 	"net/rpc"
 	"time"
@@ -74,9 +75,11 @@
 	if s.stopping {
 		return nil, nil, &Error{Kind: Closed, Peer: remote}
 	}
-	rpcServer := rpc.NewServer()
+	rpcServer, methods := rpc.NewServer(), make(map[string]struct{})
 	for name, factory := range s.factories {
-		if err := rpcServer.RegisterName(name, factory(remote)); err != nil {
+		receiver := factory(remote)
+		maps.Copy(methods, servedMethods(name, receiver))
+		if err := rpcServer.RegisterName(name, receiver); err != nil {
 			return nil, nil, &Error{Kind: Failed, Peer: remote, Err: errors.Join(errors.New("cannot register service "+name), err)}
 		}
 	}
@@ -89,7 +92,7 @@
 		return nil, nil, &Error{Kind: TooManyConnections, Peer: remote}
 	}
 	usage.connections++
-	codec := newServerCodec(ctx, conn, s.limits, s.metrics, usage.slots)
+	codec := newServerCodec(ctx, conn, s.limits, s.metrics, methods, usage.slots)
 	s.codecs[codec] = struct{}{}
 	return codec, rpcServer, nil
 }
