--- a/internal/logquery/logquery.go
+++ b/internal/logquery/logquery.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"errors"
 	"fmt"
 	"io"
 	"slices"
@@ -19,7 +20,7 @@
 )
 
 // Filter selects log lines. Zero fields are ignored. Flow takes precedence over
-// Upstream, and Upstream over Version.
+// Upstream, Upstream over Version, and Version over Evacuation.
 type Filter struct {
 	// Flow is the flow's ID, CALLER>ADDRESS, or the address of its caller alone.
 	Flow string
@@ -27,27 +28,39 @@
 	Upstream string
 	// Version is the version of a configuration.
 	Version string
+	// Evacuation is the data centre of evacuations.
+	Evacuation string
 	// Since and Until are the earliest and the latest time of selected lines, both
 	// inclusive.
 	Since, Until time.Time
 }
 
-// Read reads a log. It skips lines of text that are not log lines and returns their
-// number.
+// Read reads a log. It skips lines of text that are not log lines, or longer than
+// maxLineBytes, and returns their number.
 func Read(r io.Reader) (lines []Line, skipped int, err error) {
-	scanner := bufio.NewScanner(r)
-	scanner.Buffer(nil, maxLineBytes)
-	for scanner.Scan() {
-		if line, ok := Parse(scanner.Text()); ok {
+	reader := bufio.NewReader(r)
+	var text []byte
+	for tooLong := false; ; {
+		part, isPrefix, err := reader.ReadLine()
+		switch {
+		case errors.Is(err, io.EOF):
+			return lines, skipped, nil
+		case err != nil:
+			return lines, skipped, fmt.Errorf("read log: %w", err)
+		}
+		if tooLong = tooLong || len(text)+len(part) > maxLineBytes; !tooLong {
+			text = append(text, part...)
+		}
+		if isPrefix {
+			continue
+		}
+		if line, ok := Parse(string(text)); ok && !tooLong {
 			lines = append(lines, line)
 		} else {
 			skipped++
 		}
+		text, tooLong = text[:0], false
 	}
-	if err := scanner.Err(); err != nil {
-		return lines, skipped, fmt.Errorf("read log: %w", err)
-	}
-	return lines, skipped, nil
 }
 
 // Select returns the lines that the filter selects, sorted by time. If the filter has a
@@ -71,7 +84,7 @@
 }
 
 // matches reports whether the filter selects the line, regardless of its time. A filter
-// without flow, upstream and version matches every line.
+// without a subject matches every line.
 func (f *Filter) matches(l *Line) bool {
 	switch {
 	case f.Flow != "":
@@ -80,6 +93,8 @@
 		return l.Get("upstream") == f.Upstream
 	case f.Version != "":
 		return strings.HasPrefix(l.Event, "configuration_") && l.Get("version") == f.Version
+	case f.Evacuation != "":
+		return strings.HasPrefix(l.Event, "evacuation_") && l.Get("data_centre") == f.Evacuation
 	default:
 		return true
 	}
--- a/internal/logquery/timeline.go
+++ b/internal/logquery/timeline.go
@@ -1,6 +1,7 @@
 package logquery
 
 import (
+	"cmp"
 	"fmt"
 	"io"
 	"slices"
@@ -17,14 +18,19 @@
 	host string
 }
 
-// Timeline tells when the hosts put one version of the configuration in force. Times are
-// those of the hosts' clocks.
+// Timeline tells when the hosts put one change in force: a version of the configuration or a
+// request to evacuate a data centre. Times are those of the hosts' clocks.
 type Timeline struct {
+	// Version is the version of the configuration; empty for an evacuation.
 	Version string
-	// Hosts is the number of hosts that adopted the version, apart from those that started
+	// Evacuation is the data centre of an evacuation, and Revision where the store wrote the
+	// request; both are empty for a configuration.
+	Evacuation, Revision string
+	// Hosts is the number of hosts that adopted the change, apart from those that started
 	// with it.
 	Hosts int
-	// Started is the number of hosts that had no earlier version.
+	// Started is the number of hosts that had no earlier version, or that started after the
+	// first host had the evacuation in force.
 	Started int
 	// First is the time of the first adoption; Median, P99 and Last are the times after it
 	// at which half, 99% and all of Hosts had adopted the version.
@@ -56,19 +62,23 @@
 	}
 	timelines := make([]Timeline, 0, len(adoptions))
 	for version, all := range adoptions {
-		timelines = append(timelines, newTimeline(version, all, started[version]))
+		t := newTimeline(all, started[version])
+		t.Version = version
+		timelines = append(timelines, t)
 	}
+	sortTimelines(timelines)
+	return timelines
+}
+
+// sortTimelines sorts the timelines by their first adoptions.
+func sortTimelines(timelines []Timeline) {
 	slices.SortFunc(timelines, func(a, b Timeline) int {
-		if c := a.First.Compare(b.First); c != 0 {
-			return c
-		}
-		return strings.Compare(a.Version, b.Version)
+		return cmp.Or(a.First.Compare(b.First), strings.Compare(a.Version, b.Version), strings.Compare(a.Evacuation+" "+a.Revision, b.Evacuation+" "+b.Revision))
 	})
-	return timelines
 }
 
-// newTimeline summarizes the adoptions of a version, of which there is at least one.
-func newTimeline(version string, all []adoption, started int) Timeline {
+// newTimeline summarizes the adoptions of a change, of which there is at least one.
+func newTimeline(all []adoption, started int) Timeline {
 	slices.SortFunc(all, func(a, b adoption) int {
 		if c := a.at.Compare(b.at); c != 0 {
 			return c
@@ -82,7 +92,7 @@
 		return all[n-1].at.Sub(first.at)
 	}
 	return Timeline{
-		Version: version, Hosts: len(all), Started: started, First: first.at, FirstHost: first.host, LastHost: last.host,
+		Hosts: len(all), Started: started, First: first.at, FirstHost: first.host, LastHost: last.host,
 		Median: after(50), P99: after(99), Last: last.at.Sub(first.at),
 	}
 }
@@ -90,8 +100,12 @@
 // PrintTimelines prints a line for each timeline.
 func PrintTimelines(w io.Writer, timelines []Timeline) error {
 	for _, t := range timelines {
-		if _, err := fmt.Fprintf(w, "%s version=%s hosts=%d started=%d first=%s median_ms=%d p99_ms=%d last_ms=%d last=%s\n",
-			t.First.Format("15:04:05.000"), t.Version, t.Hosts, t.Started, t.FirstHost,
+		subject := "version=" + t.Version
+		if t.Evacuation != "" {
+			subject = "evacuation=" + t.Evacuation + " revision=" + t.Revision
+		}
+		if _, err := fmt.Fprintf(w, "%s %s hosts=%d started=%d first=%s median_ms=%d p99_ms=%d last_ms=%d last=%s\n",
+			t.First.Format("15:04:05.000"), subject, t.Hosts, t.Started, t.FirstHost,
 			t.Median.Milliseconds(), t.P99.Milliseconds(), t.Last.Milliseconds(), t.LastHost); err != nil {
 			return fmt.Errorf("print timelines: %w", err)
 		}
--- a/internal/logquery/timeline_test.go
+++ b/internal/logquery/timeline_test.go
@@ -81,3 +81,40 @@
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(hostsAndEvents(Select(lines, Filter{Flow: "100.64.0.9:1"}))).To(ContainElement("h-1 store_restored"))
 }
+
+// TestTimelineOfEvacuations covers an evacuation that is repeated, a host that starts while
+// it is in force, and lines that cannot be read, one of them too long for a log line.
+func TestTimelineOfEvacuations(t *testing.T) {
+	g := NewWithT(t)
+	var text strings.Builder
+	log := func(second float64, host, fields string) {
+		at := time.Date(2026, 1, 2, 3, 0, 0, 0, time.UTC).Add(time.Duration(second * float64(time.Second)))
+		fmt.Fprintf(&text, "time=%s level=info host=%s %s\n", at.Format(time.RFC3339Nano), host, fields)
+	}
+	log(0, "h-1", "event=started")
+	log(0, "h-2", "event=started")
+	for i, revision := range []int{40, 60} {
+		for j, host := range []string{"h-1", "h-2"} {
+			log(float64(10*i+j)+5, host, fmt.Sprintf("event=evacuation_requested data_centre=b epoch=0 revision=%d", revision))
+			log(float64(10*i+j)+5.1, host, "event=evacuation_in_force data_centre=b open=3")
+		}
+	}
+	log(20, "h-1", "event=started")
+	log(21, "h-1", "event=evacuation_requested data_centre=b epoch=0 revision=60")
+	log(21, "h-1", "event=evacuation_in_force data_centre=b open=0")
+	log(20, "h-3", "event=started")
+	log(21, "h-3", "event=evacuation_requested data_centre=b epoch=0 revision=60")
+	log(21, "h-3", "event=evacuation_in_force data_centre=b open=0")
+	lines, skipped, err := Read(strings.NewReader("time=" + strings.Repeat("x", maxLineBytes+1) + "\npanic\n" + text.String()))
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(skipped).To(Equal(2))
+	got := EvacuationTimelines(Select(lines, Filter{}))
+	g.Expect(got).To(HaveLen(2))
+	for i := range got {
+		g.Expect([]any{got[i].Hosts, got[i].FirstHost, got[i].LastHost, got[i].Last}).To(Equal([]any{2, "h-1", "h-2", time.Second}))
+	}
+	g.Expect(got[1].Started).To(Equal(1), "h-3; h-1 had it in force before it restarted")
+	var out strings.Builder
+	g.Expect(PrintTimelines(&out, got[1:])).To(Succeed())
+	g.Expect(out.String()).To(ContainSubstring(" evacuation=b revision=60 hosts=2 started=1 first=h-1"))
+}
