echo: evict records of the caller with the most when the table is full

Cause: when limits.flows is reached an arbitrary record is evicted and no SYN is refused, so a caller that opens flows without end takes the records of others, whose requests then no longer count towards their upstreams' load. Change: closed records go first, then those of the caller with the most records: its idle ones, its opening ones, those that await an answer. A new flow of a caller with more than an eighth of the table is refused (flow-limit) if the next to go is not idle. 1,024 counters count callers (Misra and Gries), only while the table is full. An event at most every 10 s reports it.

--- a/internal/flow/echo/engine.go
+++ b/internal/flow/echo/engine.go
@@ -75,7 +75,9 @@
 	// candidates is a buffer that chooseFromPool reuses.
 	candidates []*upstream
 	records    map[flowKey]*flowRecord
-	lastSweep  time.Time
+	// recordLimit selects the records to evict when there are Options.MaxFlows.
+	recordLimit recordLimit
+	lastSweep   time.Time
 	// dataCentres holds the data centres of the upstreams by name.
 	dataCentres map[string]*dataCentreHealth
 	// evacuations holds the evacuated data centres by name.
@@ -181,6 +183,8 @@
 	e.expireReports(now)
 	e.reportReturned(now)
 	e.forgetShares(now)
+	e.reportRecordLimit(now)
+	e.recordLimit.forget(now)
 	for key, rec := range e.records {
 		idle := now.Sub(rec.lastSeen)
 		switch {
@@ -218,18 +222,18 @@
 func (e *Engine) removeRecord(key flowKey, rec *flowRecord) {
 	rec.release()
 	delete(e.records, key)
+	if e.recordLimit.counts.active() {
+		e.recordLimit.counts.remove(key.caller.Addr())
+	}
 }
 
-// storeRecord stores a record in place of the flow's old one, if any. When a new
-// flow would exceed the maximum number of records, an arbitrary one is evicted.
+// storeRecord stores a record in place of the flow's old one, if any. The caller has made
+// room for it.
 func (e *Engine) storeRecord(key flowKey, rec *flowRecord) {
 	if old, ok := e.records[key]; ok {
 		old.release()
-	} else if len(e.records) >= e.options.MaxFlows {
-		for other, victim := range e.records {
-			e.removeRecord(other, victim)
-			break
-		}
+	} else if e.recordLimit.counts.active() {
+		e.recordLimit.counts.add(key.caller.Addr())
 	}
 	e.records[key] = rec
 }
--- a/internal/flow/echo/established.go
+++ b/internal/flow/echo/established.go
@@ -26,6 +26,7 @@
 			return e.withDetail(now, Decision{Verdict: e.dropOrHold(now), Reason: WrongService}, r, u, nil)
 		}
 		rec = &flowRecord{upstream: u, state: stateOpening, nextSeq: s.Seq, highestAck: s.Ack, created: now, lastSeen: now, requestTimeout: r.Timeout}
+		e.makeRoom(now, key, false)
 		e.storeRecord(key, rec)
 		reason = Echoed
 	} else if rec.state == stateOpening && !e.bindToToken(now, r, rec, s) {
--- a/internal/flow/echo/event.go
+++ b/internal/flow/echo/event.go
@@ -27,6 +27,9 @@
 	EvacuationInForce
 	// EvacuationEnded means that upstreams of the data centre may get new flows again.
 	EvacuationEnded
+	// RecordsFull means that flow records were evicted, or new flows refused, because there
+	// were Options.MaxFlows records.
+	RecordsFull
 )
 
 var eventNames = map[EventKind]string{
@@ -38,18 +41,20 @@
 	Returned:          "upstream_returned",
 	EvacuationInForce: "evacuation_in_force",
 	EvacuationEnded:   "evacuation_ended",
+	RecordsFull:       "flow_records_full",
 }
 
 // EventKinds returns all kinds of events.
 func EventKinds() []EventKind {
-	return []EventKind{Suspected, Cleared, Unopened, Unanswered, Ejected, Returned, EvacuationInForce, EvacuationEnded}
+	return []EventKind{Suspected, Cleared, Unopened, Unanswered, Ejected, Returned, EvacuationInForce, EvacuationEnded, RecordsFull}
 }
 
 // String returns the event's name in logs.
 func (k EventKind) String() string { return eventNames[k] }
 
 // Event reports that the suspicion or the ejection of an upstream, or the evacuation of a
-// data centre, began or ended, or that a flow or request had no answer.
+// data centre, began or ended, that a flow or request had no answer, or that the table of flow
+// records was full.
 type Event struct {
 	Kind       EventKind
 	Upstream   string
@@ -73,6 +78,8 @@
 	Caller, Address netip.AddrPort
 	// Evacuation is set for EvacuationInForce and EvacuationEnded events.
 	Evacuation EvacuationStatus
+	// Records is set for RecordsFull events.
+	Records RecordPressure
 }
 
 // reportUnanswered reports that a flow's SYNs or request had no answer. The kind is
--- a/internal/flow/echo/reason.go
+++ b/internal/flow/echo/reason.go
@@ -40,6 +40,9 @@
 	Overloaded
 	// Queued means that a new flow waits for a slot.
 	Queued
+	// FlowLimit means that the table of flow records is full, the caller has more than its
+	// share of it, and none of the records that would give way to the new flow is idle.
+	FlowLimit
 	// UnknownToken means that the token identifies no known upstream.
 	UnknownToken
 	// WrongService means that the token identifies an upstream of a service that the
@@ -105,6 +108,7 @@
 	WarmingUp:              "warming-up",
 	Overloaded:             "overloaded",
 	Queued:                 "queued",
+	FlowLimit:              "flow-limit",
 	UnknownToken:           "unknown-token",
 	WrongService:           "wrong-service",
 	UpstreamLeft:           "upstream-left",
--- a/internal/flow/echo/syn.go
+++ b/internal/flow/echo/syn.go
@@ -34,6 +34,11 @@
 
 // openFlow forwards the SYN of a new flow to the upstream.
 func (e *Engine) openFlow(now time.Time, r *route, s *Segment, u *upstream) Decision {
+	key := flowKey{caller: s.Caller, address: s.VirtualAddress}
+	// A copy is never refused: the flow may be open through another host, and a RST would end it.
+	if !e.makeRoom(now, key, s.Ack == 0) {
+		return e.withDetail(now, Decision{Verdict: Reset, Reason: FlowLimit}, r, u, nil)
+	}
 	if !e.spendWarmup(now, u) {
 		// The permission has ended since the upstream was chosen.
 		d := Decision{Verdict: Reset, Reason: WarmingUp}
@@ -42,7 +47,6 @@
 		}
 		return e.withDetail(now, d, r, u, nil)
 	}
-	key := flowKey{caller: s.Caller, address: s.VirtualAddress}
 	rec := &flowRecord{upstream: u, sawSYN: true, synSeq: s.Seq, nextSeq: s.Seq + 1, created: now, lastSeen: now, requestTimeout: r.Timeout}
 	e.storeRecord(key, rec)
 	d := e.withDetail(now, forwardTo(u, Opened), r, u, nil)
