edge, forward: log and export what a full table of flow records does

Cause: operators could not see that records are evicted, nor on whose account. Change: flow_records_full has the numbers since the last such line and the caller with the most records. Metrics for the limit, for evicted records by state and for the largest caller.

--- a/internal/edge/host.go
+++ b/internal/edge/host.go
@@ -227,6 +227,15 @@
 		h.logEvacuation(event)
 		return
 	}
+	if event.Kind == echo.RecordsFull {
+		p := &event.Records
+		line := h.options.Logger.Warn().Int("records", p.Records).Uint64("evicted", p.Evicted).Uint64("refused", p.Refused)
+		if p.Caller.IsValid() {
+			line = line.Stringer("caller", p.Caller).Int("caller_records", p.CallerRecords).Int("count_error", p.CountError)
+		}
+		line.Msg(event.Kind.String())
+		return
+	}
 	line := h.options.Logger.Warn().Str("upstream", event.Upstream).Str("data_centre", event.DataCentre).Dur("age_ms", event.Age)
 	switch event.Kind {
 	case echo.Suspected, echo.Cleared:
--- a/internal/flow/echo/stats.go
+++ b/internal/flow/echo/stats.go
@@ -12,6 +12,11 @@
 	Version uint64
 	// Flows is the number of flow records.
 	Flows int
+	// MaxFlows is the greatest number of flow records. EvictedRecords counts, by state, those
+	// evicted because there were as many. LargestCallerRecords is the number of records of
+	// the caller with the most, as far as they are counted, or zero while there is room.
+	MaxFlows, LargestCallerRecords int
+	EvictedRecords                 [recordStateCount]uint64
 	// Usable, Draining, Departed, Evacuated and Suspected are numbers of upstreams.
 	// Draining excludes departed upstreams, and Evacuated both; Usable counts those that
 	// are in none of the other states. Suspected also counts suspected upstreams that are
@@ -30,7 +35,11 @@
 func (e *Engine) Stats(now time.Time) Stats {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	s := Stats{Version: e.version, Flows: len(e.records), Suspected: e.suspectedCount}
+	s := Stats{
+		Version: e.version, Flows: len(e.records), Suspected: e.suspectedCount,
+		MaxFlows: e.options.MaxFlows, EvictedRecords: e.recordLimit.evicted,
+	}
+	_, s.LargestCallerRecords = e.recordLimit.counts.most()
 	for _, u := range e.upstreams {
 		if now.Before(u.ejection.until) {
 			s.Ejected++
--- a/internal/forward/echo_metrics.go
+++ b/internal/forward/echo_metrics.go
@@ -72,6 +72,9 @@
 var (
 	versionDesc              = prometheus.NewDesc("oatlatch_echo_configuration_version", "Version of the configuration in force.", nil, nil)
 	flowsDesc                = prometheus.NewDesc("oatlatch_echo_flow_records", "Flow records held.", nil, nil)
+	flowLimitDesc            = prometheus.NewDesc("oatlatch_echo_flow_records_limit", "Most flow records held.", nil, nil)
+	evictedDesc              = prometheus.NewDesc("oatlatch_echo_evicted_flow_records_total", "Flow records evicted because the table was full, by state.", []string{"state"}, nil)
+	largestCallerDesc        = prometheus.NewDesc("oatlatch_echo_largest_caller_flow_records", "Flow records of the caller with the most while the table is full, else 0.", nil, nil)
 	waitingDesc              = prometheus.NewDesc("oatlatch_echo_waiting_flows", "New flows that wait for a slot.", nil, nil)
 	evacuatedDataCentresDesc = prometheus.NewDesc("oatlatch_echo_evacuated_data_centres", "Data centres whose upstreams get no new flows because they are evacuated.", nil, nil)
 	evacuatedFlowsDesc       = prometheus.NewDesc("oatlatch_echo_evacuated_open_flows", "This host's open flows at upstreams of an evacuated data centre.", []string{"data_centre"}, nil)
@@ -84,6 +87,9 @@
 func (c *echoCollector) Describe(out chan<- *prometheus.Desc) {
 	out <- versionDesc
 	out <- flowsDesc
+	out <- flowLimitDesc
+	out <- evictedDesc
+	out <- largestCallerDesc
 	out <- waitingDesc
 	out <- upstreamsDesc
 	out <- evacuatedDataCentresDesc
@@ -100,6 +106,11 @@
 	}
 	gauge(versionDesc, int(s.Version))
 	gauge(flowsDesc, s.Flows)
+	gauge(flowLimitDesc, s.MaxFlows)
+	for state, n := range s.EvictedRecords {
+		out <- prometheus.MustNewConstMetric(evictedDesc, prometheus.CounterValue, float64(n), echo.RecordState(state).String())
+	}
+	gauge(largestCallerDesc, s.LargestCallerRecords)
 	gauge(waitingDesc, c.engine.WaitingFlows())
 	gauge(upstreamsDesc, s.Usable, "usable")
 	gauge(upstreamsDesc, s.Draining, "draining")
