echo: benchmarks of a full table of flow records

Cause: BenchmarkScalingFirstPacket had a table of four records, so it measured evictions as well, of a table smaller than any that the settings accept (1,024). Change: its flows reuse ports, so that the table is never full. BenchmarkScalingFullTable and BenchmarkScalingEvictionSearch measure the full table.

--- a/internal/flow/echo/benchmark_test.go
+++ b/internal/flow/echo/benchmark_test.go
@@ -62,14 +62,16 @@
 }
 
 // BenchmarkScalingFirstPacket measures the decision about the SYN of a new flow by
-// number of upstreams.
+// number of upstreams, while the table of flow records is not full.
 func BenchmarkScalingFirstPacket(b *testing.B) {
 	for _, upstreams := range []int{5, 50, 500} {
 		b.Run(fmt.Sprint(upstreams), func(b *testing.B) {
 			e, _ := newEngineWithFlows(upstreams, 1)
+			e.options.MaxFlows = DefaultMaxFlows
 			s := Segment{VirtualAddress: watchAddress, SYN: true}
 			for i := 0; b.Loop(); i++ {
-				s.Caller = netip.AddrPortFrom(netip.AddrFrom4([4]byte{100, byte(i >> 16), byte(i >> 8), byte(i)}), uint16(i>>24))
+				// A new flow takes the place of the one that used its port before.
+				s.Caller = netip.AddrPortFrom(netip.AddrFrom4([4]byte{100, 0, 0, 1}), uint16(i))
 				s.Seq = uint32(i)
 				e.Decide(startTime, &s)
 			}
@@ -77,6 +79,46 @@
 	}
 }
 
+// BenchmarkScalingFullTable measures the decision about the SYN of a new flow while the table
+// is full, of many callers with one record each and of one caller with all of them.
+func BenchmarkScalingFullTable(b *testing.B) {
+	for _, flows := range []int{1_000, 10_000, 100_000} {
+		for name, callers := range map[string]int{"callers": 1 << 24, "caller": 1} {
+			b.Run(fmt.Sprint(flows, "/", name), func(b *testing.B) {
+				e, _ := newEngineWithFlows(5, flows)
+				e.options.MaxFlows = flows
+				for _, rec := range e.records {
+					rec.lastSeen = startTime.Add(-time.Duration(e.random.Int64N(int64(time.Minute))))
+				}
+				b.ReportAllocs()
+				for i := 0; b.Loop(); i++ {
+					now := startTime.Add(time.Duration(i) * 10 * time.Microsecond)
+					address := i % callers
+					s := Segment{VirtualAddress: watchAddress, SYN: true, Seq: uint32(i), Caller: netip.AddrPortFrom(netip.AddrFrom4([4]byte{101, byte(address >> 16), byte(address >> 8), byte(address)}), uint16(i))}
+					e.Decide(now, &s)
+				}
+			})
+		}
+	}
+}
+
+// BenchmarkScalingEvictionSearch measures the search for the records to evict from a full table
+// of many callers, which holds the engine's lock.
+func BenchmarkScalingEvictionSearch(b *testing.B) {
+	for _, flows := range []int{1_000, 10_000, 100_000} {
+		b.Run(fmt.Sprint(flows), func(b *testing.B) {
+			e, _ := newEngineWithFlows(5, flows)
+			for _, rec := range e.records {
+				rec.lastSeen = startTime.Add(-time.Duration(e.random.Int64N(int64(time.Minute))))
+			}
+			for b.Loop() {
+				e.recordLimit.counts = callerCounts{}
+				e.recordLimit.search(startTime, e.records)
+			}
+		})
+	}
+}
+
 // BenchmarkScalingSweep measures a sweep that finds no expired record by number of
 // flows.
 func BenchmarkScalingSweep(b *testing.B) {
