--- a/internal/edge/host.go
+++ b/internal/edge/host.go
@@ -232,6 +232,15 @@
 		h.exchange.NotifyEvacuation()
 		return
 	}
+	if event.Kind == echo.RecordsFull {
+		p := &event.Records
+		line := h.options.Logger.Warn().Int("records", p.Records).Uint64("evicted", p.Evicted).Uint64("refused", p.Refused)
+		if p.Caller.IsValid() {
+			line = line.Stringer("caller", p.Caller).Int("caller_records", p.CallerRecords).Int("count_error", p.CountError)
+		}
+		line.Msg(event.Kind.String())
+		return
+	}
 	line := h.options.Logger.Warn().Str("data_centre", event.DataCentre).Dur("age_ms", event.Age)
 	if event.Kind != echo.DataCentreSilent {
 		line = line.Str("upstream", event.Upstream)
