echo: date overdue requests that time out from then, not from their last packet

Its evidence was dated back by that and so was gone at once. Change: it decays from the time for which the upstream's numbers hold.

--- a/internal/flow/echo/answers.go
+++ b/internal/flow/echo/answers.go
@@ -128,7 +128,7 @@
 
 // settle lets an overdue request that is no longer outstanding decay from now on.
 func (c *answerCounts) settle(now time.Time) {
-	c.decay(now)
+	c.decay(latest(now, c.at))            // a flow ends at its last packet, which may be long ago
 	c.owed = max(0, c.owed-overdueWeight) // a new process at the upstream owes nothing
 }
 
--- a/internal/flow/echo/overdue_test.go
+++ b/internal/flow/echo/overdue_test.go
@@ -144,3 +144,23 @@
 		})
 	}
 }
+
+// Guards against evidence that is dated back to the last packet of a flow when a sweep ends
+// its request.
+func TestRequestThatTimesOutCountsUntilThen(t *testing.T) {
+	g := NewWithT(t)
+	h := newHarness(t, tenUpstreams()...)
+	flows := h.openOnEach(10, 1)
+	h.learnUsualAnswers()
+	u := h.engine.upstreams[1]
+	u.counts = answerCounts{answers: 4, at: h.now}
+	flows[1][0].sendRequest()
+	h.advance(time.Second)
+	h.engine.sweep(h.now)
+	h.advance(defaultRequestTimeout)
+	u.counts.decay(h.now)
+	h.engine.sweep(h.now)
+	g.Expect(u.counts.owed).To(BeZero())
+	u.counts.decay(h.now)
+	g.Expect(u.counts.failed).To(BeNumerically("~", overdueWeight, 0.01))
+}
