--- a/internal/flow/echo/ejection.go
+++ b/internal/flow/echo/ejection.go
@@ -30,8 +30,7 @@
 	// initialEjection is how long an upstream is ejected for the first time. The time
 	// doubles with each further ejection, up to maxEjection, until the upstream has not
 	// been ejected for ejectionMemory. All three are those of a service with the usual
-	// answer times. They are longer for a slow one, and initialEjection is shorter for a
-	// quick one.
+	// answer times, and longer for a slow one.
 	initialEjection = 2 * time.Second
 	maxEjection     = 16 * time.Second
 	ejectionMemory  = 20 * time.Second
@@ -264,7 +263,7 @@
 // looksFailed reports whether the evidence ejects the upstream.
 func (e *Engine) looksFailed(now time.Time, u *upstream) bool {
 	answers, failed, hosts := u.combined(now)
-	if hosts < minFailingHosts && u.counts.failed < minFailedAnswers || !u.failedSinceEjection(now, failed) {
+	if hosts < minFailingHosts && u.counts.failed < minFailedAnswers {
 		return false
 	}
 	fraction := failed / max(answers, failed)
@@ -274,16 +273,11 @@
 // eject keeps new flows from the upstream for a time.
 func (e *Engine) eject(now time.Time, u *upstream) {
 	scale := e.poolOf(u).timeScale()
-	slow := max(1, scale)
-	switch {
-	case u.ejection.length == 0 || now.Sub(u.ejection.until) > scaleTime(ejectionMemory, slow):
-		u.ejection.length = scaleTime(initialEjection, scale)
-	default:
-		// A quick service has the usual times from the second ejection on: with shorter ones,
-		// an upstream that goes on failing would cost more requests.
-		u.ejection.length = min(scaleTime(maxEjection, slow), max(initialEjection, 2*u.ejection.length))
+	if now.Sub(u.ejection.until) > scaleTime(ejectionMemory, scale) {
+		u.ejection.length = 0
 	}
-	u.ejection.ramp = scaleTime(rampTime, min(slow, float64(u.ejection.length)/float64(initialEjection)))
+	u.ejection.length = min(scaleTime(maxEjection, scale), max(scaleTime(initialEjection, scale), 2*u.ejection.length))
+	u.ejection.ramp = scaleTime(rampTime, scale)
 	u.ejection.until, u.ejection.returning = now.Add(u.ejection.length), true
 	answers, failed, hosts := u.combined(now)
 	u.ejection.answers, u.ejection.failed, u.ejection.hosts = answers, failed, hosts
