--- a/internal/flow/echo/record_limit.go
+++ b/internal/flow/echo/record_limit.go
@@ -11,8 +11,8 @@
 	// than the host's mean of callers behind one address, and leaves room for others when
 	// several callers open flows without limit.
 	callerShareDivisor = 8
-	// maxVisitedRecords is the number of records that a search visits. It bounds the time for
-	// which a search holds the engine's lock.
+	// maxVisitedRecords is the number of records that a search visits, apart from the counts,
+	// which take all. It bounds the time for which most searches hold the engine's lock.
 	maxVisitedRecords = 1 << 14
 	// evictionBatchDivisor determines the share of the visited records that a search selects,
 	// so that an eviction costs four visits.
