echo: let a share of new flows leave a data centre that is full

Cause: the fixed penalty for other data centres keeps new flows local until this host's own requests use all local slots. With four hosts in a data centre each sees a quarter of the load, so that requests queue at home while other data centres have free slots.

Change: mechanism spill-over. Each host compares the recent response times of the local upstreams of a service with those elsewhere, or with the usual ones while none leave, and adapts the share of new flows for which the penalty is waived, four times a second and with hysteresis. Nothing is sent for it.

--- a/internal/flow/echo/choose.go
+++ b/internal/flow/echo/choose.go
@@ -96,13 +96,14 @@
 		}
 		candidates = []*upstream{candidates[first], candidates[second]}
 	}
-	return e.lowestCost(now, candidates)
+	return e.lowestCost(now, candidates, e.spills(now, p))
 }
 
 // lowestCost returns the candidate with the lowest cost, or nil if there are none. Of
 // several in the same data centre, or all in others, it returns the one with the fewest
-// recent requests for its slots. Other ties are broken at random.
-func (e *Engine) lowestCost(now time.Time, candidates []*upstream) *upstream {
+// recent requests for its slots. Other ties are broken at random. If spills is set, upstreams
+// in other data centres have no penalty and win ties.
+func (e *Engine) lowestCost(now time.Time, candidates []*upstream, spills bool) *upstream {
 	var sides [2]cheapest
 	for _, u := range candidates {
 		sides[u.side()].consider(e, now, u)
@@ -111,6 +112,8 @@
 	switch {
 	case local.best == nil:
 		return remote.best
+	case spills && remote.best != nil && remote.cost-remotePenalty <= local.cost:
+		return remote.best
 	case remote.best == nil || local.cost < remote.cost:
 		return local.best
 	case local.cost == remote.cost && e.random.IntN(local.count+remote.count) < local.count:
--- a/internal/flow/echo/established.go
+++ b/internal/flow/echo/established.go
@@ -91,6 +91,7 @@
 			e.countAnswer(now, rec.upstream, failed, 1)
 			if !failed {
 				e.countSpeed(now, rec.upstream, responseTime)
+				e.observeSpill(now, rec.upstream, responseTime)
 			}
 		}
 		rec.endRequest()
--- a/internal/flow/echo/mechanism.go
+++ b/internal/flow/echo/mechanism.go
@@ -49,6 +49,9 @@
 	WarmupBudget
 	// FairQueueing admits waiting flows in turn by route and caller.
 	FairQueueing
+	// SpillOver lets a share of new flows leave the data centre while local response times
+	// are longer than usual and than elsewhere.
+	SpillOver
 
 	mechanismCount
 )
@@ -58,7 +61,7 @@
 	RemotePenalty: "remote-penalty", Suspicion: "suspicion", DataCentreSuspicion: "data-centre-suspicion", HoldDown: "hold-down",
 	UnreachableReset: "unreachable-reset", PauseGrace: "pause-grace", FailedCost: "failed-cost", Ejection: "ejection",
 	OverdueRequests: "overdue-requests", SharedEvidence: "shared-evidence", RecentRequests: "recent-requests", IdleReset: "idle-reset",
-	SpeedWeight: "speed-weight", WarmupBudget: "warmup-budget", FairQueueing: "fair-queueing",
+	SpeedWeight: "speed-weight", WarmupBudget: "warmup-budget", FairQueueing: "fair-queueing", SpillOver: "spill-over",
 }
 
 // String returns the mechanism's name.
--- a/internal/flow/echo/pool.go
+++ b/internal/flow/echo/pool.go
@@ -55,6 +55,8 @@
 	overload overloadPeriod
 	// queue holds the new flows that wait for a slot.
 	queue admissionQueue
+	// spill determines the share of new flows that may leave the data centre.
+	spill spillover
 	// refusal decides which flows are refused while an overload lasts.
 	refusal fairRefusal
 }
