--- a/cmd/oatlatch/experiment.go
+++ b/cmd/oatlatch/experiment.go
@@ -18,6 +18,7 @@
 	Patterns experimentPatternsCommand `cmd:"" default:"withargs" help:"Play patterns of load and faults under each way to choose upstreams (the default)."`
 	Bound    experimentBoundCommand    `cmd:"" help:"Play a pattern and print what no balancer could have exceeded, and why requests were not answered in time."`
 	Lag      experimentLagCommand      `cmd:"" help:"Measure how far hosts are behind what others know while sources fail."`
+	Idle     experimentIdleCommand     `cmd:"" help:"Measure what hosts cost that forward no packets, as processes of a daemon."`
 }
 
 // experimentPatternsCommand simulates patterns of load and faults under each policy for
--- a/cmd/oatlatch/soak.go
+++ b/cmd/oatlatch/soak.go
@@ -7,7 +7,6 @@
 	"io"
 	"math/rand/v2"
 	"os"
-	"path/filepath"
 	"time"
 
 	"github.com/oatlatch/oatlatch/internal/soak"
@@ -72,17 +71,14 @@
 // log file.
 func (c *soakCommand) options() (soak.Options, func(), error) {
 	options := soak.Options{
-		Daemon: c.Daemon, Seed: c.Seed, Duration: time.Duration(c.Seconds) * time.Second, Hosts: c.Hosts, Callers: c.Callers,
+		Seed: c.Seed, Duration: time.Duration(c.Seconds) * time.Second, Hosts: c.Hosts, Callers: c.Callers,
 	}
 	if options.Seed == 0 {
 		options.Seed = rand.Uint64N(1_000_000) + 1
 	}
-	if options.Daemon == "" {
-		self, err := os.Executable()
-		if err != nil {
-			return options, nil, fmt.Errorf("cannot find oatlatchd, set its path with --daemon: %w", err)
-		}
-		options.Daemon = filepath.Join(filepath.Dir(self), "oatlatchd")
+	var err error
+	if options.Daemon, err = daemonPath(c.Daemon); err != nil {
+		return options, nil, err
 	}
 	if c.Verbose {
 		options.Progress = os.Stderr
