echo: reset open flows only of upstreams that are confirmed to be silent

Cause: two requests that have no answer for 150 ms while another upstream answers make a host suspect their upstream, and from then on each repeatable request on its open flows is reset. An upstream that stalls for that long, for example while it collects garbage, is alive; its flows must not be cut. Ruled out: a pause of the host itself (pauseGrace covers it) and lost packets (two flows are needed).

Now such a flow is reset once a probe could not connect to the upstream's address within 100 ms, or another process answers there, or the upstream has been suspected for 0.6 s (longer for slow services), as idle flows were before. New flows avoid a suspected upstream at once, as before. Probes no longer wait for each other: one that hung delayed the next round by 0.25 s.

Existing tests that expected the reset at the suspicion now also expect that it does not come before the confirmation.

--- a/internal/edge/options.go
+++ b/internal/edge/options.go
@@ -45,7 +45,8 @@
 	// Codec decodes and encodes packets.
 	Codec forward.Codec
 	// Check probes a suspected upstream. It returns nil if that upstream, and not
-	// another one, answers at its address.
+	// another one, answers at its address, and an error that wraps echo.ErrUnreachable if it
+	// cannot be reached there.
 	Check func(context.Context, echo.Probe) error
 	// ReadyPath is the HTTP path of the readiness checks by routers.
 	ReadyPath string
--- a/internal/edge/prober.go
+++ b/internal/edge/prober.go
@@ -2,13 +2,13 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"github.com/rs/zerolog"
 	"golang.org/x/sync/errgroup"
 
 	"github.com/oatlatch/oatlatch/internal/flow/echo"
-	"github.com/oatlatch/oatlatch/internal/wait"
 )
 
 const (
@@ -26,7 +26,8 @@
 // sleeps while there are none.
 type prober struct {
 	engine *echo.Engine
-	// check returns nil if the probed upstream answers.
+	// check returns nil if the probed upstream answers, and an error that wraps
+	// echo.ErrUnreachable if it cannot be reached.
 	check  func(context.Context, echo.Probe) error
 	now    func() time.Time
 	logger zerolog.Logger
@@ -54,31 +55,50 @@
 			return nil
 		case <-p.wake:
 		}
-		for p.engine.SuspectedCount() > 0 {
-			p.probeDue(ctx)
-			if wait.Sleep(ctx, probePollInterval) != nil {
-				return nil
-			}
+		p.probeUntilCleared(ctx)
+	}
+}
+
+// probeUntilCleared probes suspected upstreams until there are none.
+func (p *prober) probeUntilCleared(ctx context.Context) {
+	var probes errgroup.Group
+	probes.SetLimit(maxConcurrentProbes)
+	defer func() { _ = probes.Wait() }() // the functions always return nil
+	timer := time.NewTimer(probePollInterval)
+	defer timer.Stop()
+	for p.engine.SuspectedCount() > 0 {
+		p.probeDue(ctx, &probes)
+		timer.Reset(probePollInterval)
+		select {
+		case <-ctx.Done():
+			return
+		case <-p.wake:
+		case <-timer.C:
 		}
 	}
 }
 
-// probeDue probes all upstreams that are due, and reports those that answered to the
-// engine.
-func (p *prober) probeDue(ctx context.Context) {
-	var group errgroup.Group
-	group.SetLimit(maxConcurrentProbes)
+// probeDue starts a probe of each upstream that is due.
+func (p *prober) probeDue(ctx context.Context, probes *errgroup.Group) {
 	for _, probe := range p.engine.DueProbes(p.now()) {
-		group.Go(func() error {
-			ctx, cancel := context.WithTimeout(ctx, probeTimeout)
-			defer cancel()
-			if err := p.check(ctx, probe); err != nil {
-				p.logger.Debug().Err(err).Str("upstream", probe.Name).Msg("check_failed")
-				return nil
-			}
-			p.engine.ProbeSucceeded(p.now(), probe.Upstream)
+		probes.Go(func() error {
+			p.probe(ctx, probe)
 			return nil
 		})
 	}
-	_ = group.Wait() // the functions always return nil
+}
+
+// probe probes an upstream, and tells the engine if it answered or could not be reached.
+func (p *prober) probe(ctx context.Context, probe echo.Probe) {
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	err := p.check(ctx, probe)
+	if err == nil {
+		p.engine.ProbeSucceeded(p.now(), probe.Upstream)
+		return
+	}
+	p.logger.Debug().Err(err).Str("upstream", probe.Name).Msg("check_failed")
+	if errors.Is(err, echo.ErrUnreachable) {
+		p.engine.ProbeFailed(probe.Upstream)
+	}
 }
--- a/internal/experiment/simulation.go
+++ b/internal/experiment/simulation.go
@@ -27,6 +27,8 @@
 	registrationTTL = 3 * time.Second
 	// probeInterval is the interval at which hosts probe suspected upstreams.
 	probeInterval = 100 * time.Millisecond
+	// connectTimeout is the time after which a probe has failed to reach an upstream.
+	connectTimeout = 100 * time.Millisecond
 )
 
 // Virtual addresses of requests that may be repeated and of those that may not.
@@ -160,6 +162,7 @@
 				h.ejections++
 			case echo.Suspected:
 				h.suspicions++
+				sim.after(0, func() { sim.probeDue(h) })
 			}
 		},
 	})
@@ -264,17 +267,25 @@
 // next round of probes while callers send requests.
 func (sim *simulation) runProbes() {
 	for _, h := range sim.hosts {
-		for _, p := range h.engine.DueProbes(sim.now) {
-			if u := sim.byID[p.Upstream]; !u.silent && !sim.partitioned(h.dc, u.dc) && !h.down {
-				h.engine.ProbeSucceeded(sim.now, p.Upstream)
-			}
-		}
+		sim.probeDue(h)
 	}
 	if sim.now.Before(runStart.Add(sim.options.Duration)) {
 		sim.after(probeInterval, sim.runProbes)
 	}
 }
 
+// probeDue probes the upstreams that the host suspects and that are due.
+func (sim *simulation) probeDue(h *hostNode) {
+	engine := h.engine
+	for _, p := range engine.DueProbes(sim.now) {
+		if u := sim.byID[p.Upstream]; !u.silent && !sim.partitioned(h.dc, u.dc) && !h.down {
+			engine.ProbeSucceeded(sim.now, p.Upstream)
+			continue
+		}
+		sim.after(connectTimeout, func() { engine.ProbeFailed(p.Upstream) })
+	}
+}
+
 // shareEstimates tells each host the pending requests of the other hosts of its
 // data centre, and schedules the next exchange while callers send requests.
 func (sim *simulation) shareEstimates() {
--- a/internal/flow/echo/established.go
+++ b/internal/flow/echo/established.go
@@ -36,7 +36,7 @@
 	if retransmitted {
 		e.recordRetransmission(now, rec, rec.requestedAt)
 	}
-	if reason := e.resetReason(r, rec.upstream, s, retransmitted); reason != 0 && !s.RST {
+	if reason := e.resetReason(now, r, rec.upstream, s, retransmitted); reason != 0 && !s.RST {
 		d := e.withDetail(now, Decision{Verdict: Reset, Reason: reason}, r, rec.upstream, rec)
 		rec.endRequest()
 		rec.setState(stateClosed)
@@ -139,12 +139,12 @@
 // registration ended without draining may merely have lost its connection to the
 // registration store, so its flows are reset only if it also fails to answer.
 //
-// A flow with a repeatable request to a suspected upstream is reset, so that the
-// caller sends the request to another one. This applies only if flows of that very
-// upstream went unanswered: when its whole data centre is suspected, it may still
-// work. An evacuated upstream is not probed, so only an answer can clear it: a request
-// is given the chance, and reset once it is retransmitted.
-func (e *Engine) resetReason(r *route, u *upstream, s *Segment, retransmitted bool) Reason {
+// A flow with a repeatable request to a suspected upstream that is confirmed to be silent is
+// reset, so that the caller sends the request to another one. This applies only if flows
+// of that very upstream went unanswered: when its whole data centre is suspected, it may
+// still work. An evacuated upstream is not probed, so only an answer can clear it: a
+// request is given the chance, and reset once it is retransmitted.
+func (e *Engine) resetReason(now time.Time, r *route, u *upstream, s *Segment, retransmitted bool) Reason {
 	departed := u.Presence == catalog.Departed
 	switch {
 	case departed && u.Draining:
@@ -153,7 +153,7 @@
 		return UpstreamLost
 	case u.evacuated && !retransmitted:
 		return 0
-	case u.suspected() && u.unansweredFlows > 0 && r.Repeatable && s.Length > 0 && !e.options.Without.Has(UnreachableReset):
+	case u.unansweredFlows > 0 && e.confirmedSilent(now, u) && r.Repeatable && s.Length > 0 && !e.options.Without.Has(UnreachableReset):
 		return Unreachable
 	default:
 		return 0
--- a/internal/flow/echo/evacuation_test.go
+++ b/internal/flow/echo/evacuation_test.go
@@ -201,8 +201,10 @@
 		h.engine.suspect(h.now, h.engine.upstreams[3], Retransmissions)
 		h.engine.checkDataCentre(h.now, h.engine.upstreams[3])
 		h.expectDecision(f.sendRequest(), Forward, Known)
-		h.advance(200 * time.Millisecond)
-		h.completeOtherServiceRequest()
+		for range 3 { // once it has gone unanswered for longer than an upstream may stall
+			h.advance(200 * time.Millisecond)
+			h.completeOtherServiceRequest()
+		}
 		h.expectDecision(f.retransmit(), Reset, Unreachable)
 		h.evacuate()
 		g.Expect(h.engine.DueProbes(h.now)).To(HaveLen(3), "probes clear the upstreams once the data centre is back")
@@ -224,6 +226,8 @@
 		h.engine.suspect(h.now, u, Retransmissions)
 		h.expectDecision(f.sendRequest(), Forward, Known) // without probes, only an answer shows that it is back
 		h.advance(300 * time.Millisecond)
+		h.expectDecision(f.retransmit(), Forward, Known) // it may have stalled
+		h.advance(300 * time.Millisecond)
 		h.expectDecision(f.retransmit(), Reset, Unreachable)
 	})
 	t.Run("their slow answers refuse no flow elsewhere", func(t *testing.T) {
--- a/internal/flow/echo/idle_reset.go
+++ b/internal/flow/echo/idle_reset.go
@@ -7,9 +7,10 @@
 )
 
 const (
-	// minSilenceBeforeReset is how long an upstream must be suspected before its idle flows
-	// are reset. A probe clears one that works within probeInterval and the probe's time
-	// limit, and the hosts that have no evidence of their own learn of it from the others.
+	// minSilenceBeforeReset is how long an upstream must be suspected before its flows are
+	// reset, unless a probe could not reach it. A probe clears one that works within
+	// probeInterval and the probe's time limit, and the hosts that have no evidence of their
+	// own learn of it from the others.
 	minSilenceBeforeReset = 600 * time.Millisecond
 	// silenceProcessingTimes is the same in processing times of the pool: upstreams that
 	// take long may answer nobody for a while.
@@ -66,6 +67,15 @@
 	}
 }
 
+// confirmedSilent reports whether the upstream is suspected, and a probe could not reach it or
+// it has been suspected for long. One that works may leave two flows unanswered for a moment,
+// for example while it collects garbage.
+func (e *Engine) confirmedSilent(now time.Time, u *upstream) bool {
+	return u.suspected() && (u.unreachable || now.Sub(u.suspectedAt) >= e.silenceBeforeReset(u))
+}
+
+// silenceBeforeReset returns how long the upstream must be suspected before its flows are
+// reset without a probe that could not reach it.
 func (e *Engine) silenceBeforeReset(u *upstream) time.Duration {
 	if p := e.poolOf(u); p != nil {
 		return max(minSilenceBeforeReset, silenceProcessingTimes*p.processingTime)
--- a/internal/flow/echo/probe.go
+++ b/internal/flow/echo/probe.go
@@ -1,12 +1,17 @@
 package echo
 
 import (
+	"errors"
 	"net/netip"
 	"time"
 
 	"github.com/oatlatch/oatlatch/internal/catalog"
 )
 
+// ErrUnreachable means that a probe could make no connection to the upstream, or that another
+// process answers at its address.
+var ErrUnreachable = errors.New("upstream cannot be reached at its address")
+
 // Probe describes a health check of a suspected upstream.
 type Probe struct {
 	// Upstream and Name are the upstream's ID and name.
@@ -43,11 +48,26 @@
 func (e *Engine) ProbeSucceeded(now time.Time, id catalog.UpstreamID) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if u := e.upstreams[id]; u != nil && u.suspected() && !now.Before(u.holdDownUntil) {
+	u := e.upstreams[id]
+	if u == nil || !u.suspected() {
+		return
+	}
+	u.unreachable = false
+	if !now.Before(u.holdDownUntil) {
 		e.clearSuspicion(now, u, Reachable)
 	}
 }
 
+// ProbeFailed records that a probe could not reach the upstream. Until another one does, its
+// repeatable requests are reset.
+func (e *Engine) ProbeFailed(id catalog.UpstreamID) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if u := e.upstreams[id]; u != nil && u.suspected() {
+		u.unreachable = true
+	}
+}
+
 // SuspectedCount returns the number of suspected upstreams.
 func (e *Engine) SuspectedCount() int {
 	e.mu.Lock()
--- a/internal/flow/echo/suspicion.go
+++ b/internal/flow/echo/suspicion.go
@@ -50,8 +50,10 @@
 	suspectedAt time.Time
 	// suspectReason is why the upstream is suspected.
 	suspectReason Reason
-	// lastProbe is when the last probe of the suspected upstream began.
-	lastProbe time.Time
+	// lastProbe is when the last probe of the suspected upstream began. unreachable is set if
+	// the last one that ended could not reach it.
+	lastProbe   time.Time
+	unreachable bool
 	// holdDown is how long probes cannot clear the upstream the next time that it is
 	// suspected. holdDownUntil is the end of that time for the current suspicion.
 	holdDown      time.Duration
@@ -180,7 +182,7 @@
 		e.suspectedCount-- // an upstream that left the view no longer counts
 	}
 	e.report(Event{Kind: Cleared, Upstream: u.Name, DataCentre: u.DataCentre, Reason: reason, Age: timeSince(now, u.suspectedAt)})
-	u.suspectedAt, u.byReports = time.Time{}, false
+	u.suspectedAt, u.byReports, u.unreachable = time.Time{}, false, false
 	u.unansweredFlows = 0
 	u.strikeSeries++
 }
--- a/internal/flow/echo/suspicion_test.go
+++ b/internal/flow/echo/suspicion_test.go
@@ -83,6 +83,7 @@
 	flows := h.openOnEach(2, 3)
 	h.leaveUnanswered(flows[1][0], flows[1][1])
 	g.Expect(h.suspectedNames()).To(ConsistOf("i-00000001"))
+	h.engine.ProbeFailed(1)
 	h.expectDecision(flows[1][2].sendRequest(), Reset, Unreachable)
 	for range 10 {
 		g.Expect(h.newFlow(watchAddress).open().Upstream).To(BeEquivalentTo(2))
@@ -92,6 +93,29 @@
 	g.Expect(h.events[0].UnansweredFlows).To(Equal(2))
 }
 
+// TestOpenFlowsOfAnUpstreamThatStallsAreKept guards against resets of flows whose upstream
+// works but answers nothing for a moment, while another one answers.
+func TestOpenFlowsOfAnUpstreamThatStallsAreKept(t *testing.T) {
+	g := NewWithT(t)
+	h := newHarness(t, newEntry(1, localDC), newEntry(2, localDC))
+	flows := h.openOnEach(2, 4)[1]
+	h.leaveUnanswered(flows[0], flows[1])
+	g.Expect(h.suspectedNames()).To(ConsistOf("i-00000001"))
+	h.expectDecision(flows[2].sendRequest(), Forward, Known)
+	h.expectDecision(flows[0].retransmit(), Forward, Known)
+	h.engine.ProbeFailed(1)
+	h.engine.upstreams[1].holdDownUntil = h.now.Add(time.Second)
+	h.engine.ProbeSucceeded(h.now, 1)
+	g.Expect(h.suspectedNames()).To(ConsistOf("i-00000001"), "probes cannot clear it yet")
+	h.expectDecision(flows[0].retransmit(), Forward, Known)
+	h.advance(minSilenceBeforeReset)
+	h.engine.lastPacket = h.now // otherwise the gap counts as a pause of the host
+	h.expectDecision(flows[0].retransmit(), Reset, Unreachable)
+	flows[1].ackResponse()
+	h.engine.ProbeFailed(1)
+	h.expectDecision(flows[3].sendRequest(), Forward, Known)
+}
+
 func TestNonRepeatableRequestsStayWithSuspectedUpstream(t *testing.T) {
 	h := newHarness(t, newEntry(1, localDC))
 	order := h.newFlow(orderAddress)
@@ -173,6 +197,7 @@
 	flows := h.openOnEach(2, 3)
 	h.leaveUnanswered(flows[1][:2]...)
 	outstanding := h.engine.upstreams[1].outstanding
+	h.engine.ProbeFailed(1)
 	h.expectDecision(flows[1][2].sendRequest(), Reset, Unreachable)
 	g.Expect(h.engine.upstreams[1].outstanding).To(Equal(outstanding))
 	h.events = nil
@@ -269,6 +294,7 @@
 	h.expectDecision(idle.sendRequest(), Forward, Known)
 	h.advance(200 * time.Millisecond)
 	h.completeOtherServiceRequest()
+	h.engine.ProbeFailed(4)
 	h.expectDecision(idle.retransmit(), Reset, Unreachable)
 	h.expectDecision(flows[4][1].sendRequest(), Reset, Unreachable)
 }
