gossip, feed: hosts tell each other what they know as datagrams

Cause: a host held two or three calls to partners at any time, in turn to nine of them.

Change: partners are asked by authenticated datagrams every 0.8 s and answer at once; whoever has asked is told of changes for 3 s. Slots, held calls, turns and their cancellation go, the choice of partners stays. Offers are made only to hosts that do not answer or whose registration has ended, the page is built only if it is needed, and each silent host gets its turn. Of a silent host in another data centre all hosts there are asked.

New: TestRecordedMessage (bytes of this build, unknown fields), TestOnlyHostsWithThePeerKeyAreBelieved, FuzzDecode (20 s by hand).

--- a/cmd/oatlatch/experiment_lag.go
+++ b/cmd/oatlatch/experiment_lag.go
@@ -48,6 +48,7 @@
 		fmt.Printf("longest lag              %s  %s\n", r.Worst.Round(time.Millisecond), r.WorstHost)
 		fmt.Printf("configuration in force   %s\n", r.Operator.Round(time.Millisecond))
 		fmt.Printf("calls/s of a host        %.2f  to other data centres %.2f  served at most in a second %d\n", r.Calls, r.RemoteCalls, r.ServedPeak)
+		fmt.Printf("messages/s of a host      %.2f\n", r.Messages)
 		fmt.Printf("calls/s to the store     %.2f  at most in a second %d\n", r.StoreCalls, r.StorePeak)
 		if c.Bytes {
 			fmt.Printf("B/s to a host            %.0f  for partners %.0f  from other data centres %.0f\n", r.Bytes, r.PartnerBytes, r.RemoteBytes)
--- a/internal/catalogrpc/source.go
+++ b/internal/catalogrpc/source.go
@@ -20,7 +20,7 @@
 	CallAddress(ctx context.Context, to netip.AddrPort, method string, args, reply any) error
 }
 
-// Source reads the catalog of another host. It implements feed.PeerSource.
+// Source reads the catalog of another host. It implements feed.Source.
 type Source struct {
 	client  Client
 	address netip.AddrPort
@@ -69,16 +69,3 @@
 	}
 	return update, nil
 }
-
-// Progress implements feed.PeerSource.
-func (s *Source) Progress(ctx context.Context, own feed.PeerProgress, wait time.Duration) (feed.PeerProgress, error) {
-	var reply ProgressReply
-	args := &ProgressArgs{Own: own.Progress, Age: own.Age, Wait: wait}
-	if err := s.client.CallAddress(ctx, s.address, ServiceName+".Progress", args, &reply); err != nil {
-		return feed.PeerProgress{}, err
-	}
-	if !reply.Ready {
-		return feed.PeerProgress{}, ErrNotReady
-	}
-	return reply.Known, nil
-}
--- a/internal/edge/host.go
+++ b/internal/edge/host.go
@@ -100,7 +100,7 @@
 		now: options.Now, logger: options.Logger, wake: make(chan struct{}, 1),
 	}
 	h.feed = feed.New(feed.Options{
-		Self: s.Host.ID, DataCentre: s.Host.DataCentre, Store: options.Store, Peer: h.peers.feedSource,
+		Self: s.Host.ID, DataCentre: s.Host.DataCentre, Store: options.Store, Peer: h.peers.feedSource, Send: h.peers.send, OnSilent: func(name string) { h.offering.noteSilent(name) },
 		Snapshots: options.Snapshots, OnStoreRead: h.snapshots.wakeUp,
 		Timing: feed.NewTiming(s.Store.ShortestApplyWithin()), Retention: catalog.RetentionOf(s.Limits.FlowAge), OnView: h.applyView,
 		Logger: options.Logger, Metrics: feedMetrics, Now: options.Now, Seed: options.Seed,
@@ -108,13 +108,13 @@
 	if err := h.registerLag(); err != nil {
 		return nil, err
 	}
-	h.peers.catalog, h.snapshots.catalog = h.feed, h.feed
+	h.peers.catalog, h.peers.receive, h.snapshots.catalog = h.feed, h.feed.Receive, h.feed
 	h.seeding = &seeding{
 		logger: options.Logger, now: options.Now, retention: catalog.RetentionOf(s.Limits.FlowAge),
 		apply: h.serveView, requireCurrent: h.feed.RequireCurrent,
 	}
 	h.offering = &offering{
-		self: s.Host.ID, dataCentre: s.Host.DataCentre, page: h.feed.Snapshot, age: h.feed.Age, offer: seed.Offer,
+		self: s.Host.ID, dataCentre: s.Host.DataCentre, page: h.feed.Snapshot, offer: seed.Offer, wake: make(chan struct{}, 1),
 		logger: options.Logger, now: options.Now, random: rand.New(rand.NewPCG(options.Seed, offeringStream)),
 	}
 	if h.readyListener, err = serve.Listen("ready", s.Listen.Ready); err != nil {
@@ -171,9 +171,7 @@
 	group.Go(func() error { return h.forwarder.Run(groupCtx) })
 	group.Go(func() error { return h.feed.Run(groupCtx) })
 	group.Go(func() error { return h.feed.RunOperator(groupCtx) })
-	for slot := range feed.PartnerSlots {
-		group.Go(func() error { return h.feed.RunPartner(groupCtx, slot) })
-	}
+	group.Go(func() error { return h.feed.RunPartners(groupCtx) })
 	group.Go(func() error { return h.seeding.run(groupCtx, h.options.Settings.Store.Seeds) })
 	group.Go(func() error { return h.offering.run(groupCtx) })
 	group.Go(func() error { return h.prober.run(groupCtx) })
--- a/internal/edge/peer_key.go
+++ b/internal/edge/peer_key.go
@@ -3,10 +3,12 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"math/rand/v2"
 	"time"
 
 	"github.com/oatlatch/oatlatch/internal/catalog"
+	"github.com/oatlatch/oatlatch/internal/gossip"
 	"github.com/oatlatch/oatlatch/internal/host"
 	"github.com/oatlatch/oatlatch/internal/peer"
 	"github.com/oatlatch/oatlatch/internal/registration"
@@ -90,7 +92,7 @@
 
 // followKeys makes the credentials follow the peer key until ctx is cancelled. Connections
 // that are open keep the keys that they were established with.
-func (p *peers) followKeys(ctx context.Context, credentials *peer.TLS) error {
+func (p *peers) followKeys(ctx context.Context, credentials *peer.TLS, socket *gossip.Socket) error {
 	var used peerKeys
 	for {
 		select {
@@ -105,10 +107,12 @@
 			if err == nil {
 				err = credentials.Replace(sources)
 			}
-			if err != nil {
+			derived, deriveErr := gossip.NewKeys(keys.current, keys.former)
+			if err = errors.Join(err, deriveErr); err != nil {
 				p.options.Logger.Error().Err(err).Msg("peer_key_refused")
 				continue
 			}
+			socket.SetKeys(derived)
 			p.options.Logger.Info().Bool("former", keys.former != nil).Msg("peer_key_changed")
 		}
 	}
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net/netip"
 	"sync/atomic"
 	"time"
 
@@ -13,6 +14,7 @@
 	"github.com/oatlatch/oatlatch/internal/catalogrpc"
 	"github.com/oatlatch/oatlatch/internal/evidencerpc"
 	"github.com/oatlatch/oatlatch/internal/feed"
+	"github.com/oatlatch/oatlatch/internal/gossip"
 	"github.com/oatlatch/oatlatch/internal/host"
 	"github.com/oatlatch/oatlatch/internal/latest"
 	"github.com/oatlatch/oatlatch/internal/peer"
@@ -30,6 +32,8 @@
 	// catalog and exchange are served to other hosts. They are set before run.
 	catalog  catalogrpc.CatalogProvider
 	exchange *evidencerpc.Exchange
+	// receive takes messages of other hosts. It is set before run.
+	receive func(from string, m feed.Message) (answer feed.Message, ok bool)
 	// keys passes the peer keys to use, and lostKeys those to write to the store again.
 	keys     latest.Value[peerKeys]
 	lostKeys latest.Value[lostPeerKey]
@@ -37,6 +41,8 @@
 	epoch uint64
 	// client is nil until the peer key is known.
 	client atomic.Pointer[peer.Client]
+	// gossip is nil until the peer key is known.
+	gossip atomic.Pointer[gossip.Socket]
 	// registrar is nil until the peer key is known.
 	registrar atomic.Pointer[registration.Registrar]
 	// unregisterRequested is closed when this host begins to stop. Its registration is
@@ -78,7 +84,7 @@
 
 // feedSource returns a source that reads the catalog from another host, or nil
 // while the peer key is unknown.
-func (p *peers) feedSource(h catalog.Host) feed.PeerSource {
+func (p *peers) feedSource(h catalog.Host) feed.Source {
 	client := p.client.Load()
 	if client == nil {
 		return nil
@@ -86,6 +92,13 @@
 	return catalogrpc.NewSource(client, h.Peer)
 }
 
+// send sends a message to another host unless the peer key is unknown.
+func (p *peers) send(to catalog.Host, m feed.Message) {
+	if socket := p.gossip.Load(); socket != nil {
+		socket.Send(to.Peer, &m)
+	}
+}
+
 // evidenceClient returns the client for calls to other hosts, or nil while the peer key is
 // unknown.
 func (p *peers) evidenceClient() evidencerpc.Client {
@@ -136,6 +149,11 @@
 	if err != nil {
 		return fmt.Errorf("settings:listen.peer: %w", err)
 	}
+	socket, err := p.newSocket(server.Addr(), keys)
+	if err != nil {
+		return err
+	}
+	p.gossip.Store(socket)
 	server.Register(catalogrpc.ServiceName, func(caller host.ID) any { return catalogrpc.NewService(p.catalog, caller) })
 	server.Register(evidencerpc.ServiceName, func(caller host.ID) any { return evidencerpc.NewService(p.exchange, caller) })
 	client := peer.NewClient(peer.ClientOptions{
@@ -150,10 +168,11 @@
 	p.registrar.Store(registrar)
 	group, groupCtx := errgroup.WithContext(ctx)
 	group.Go(func() error { return server.Run(groupCtx) })
+	group.Go(func() error { return socket.Run(groupCtx) })
 	registrarCtx, stopRegistrar := context.WithCancel(groupCtx)
 	defer stopRegistrar()
 	group.Go(func() error { return registrar.Run(registrarCtx) })
-	group.Go(func() error { return p.followKeys(groupCtx, credentials) })
+	group.Go(func() error { return p.followKeys(groupCtx, credentials, socket) })
 	group.Go(func() error { return p.restoreKeys(groupCtx) })
 	group.Go(func() error {
 		select {
@@ -168,6 +187,21 @@
 	return err
 }
 
+// newSocket returns a socket for messages at the address at which this host takes calls.
+func (p *peers) newSocket(listen netip.AddrPort, keys peerKeys) (*gossip.Socket, error) {
+	derived, err := gossip.NewKeys(keys.current, keys.former)
+	if err != nil {
+		return nil, err
+	}
+	socket, err := gossip.NewSocket(gossip.Options{
+		Self: p.options.Settings.Host.ID, Listen: listen, Keys: derived, Receive: p.receive, Logger: p.options.Logger, Registerer: p.registry,
+	})
+	if err != nil {
+		return nil, fmt.Errorf("settings:listen.peer: %w", err)
+	}
+	return socket, nil
+}
+
 // unregister starts the removal of this host's registration. The host still answers
 // calls. It must be called at most once.
 func (p *peers) unregister() { close(p.unregisterRequested) }
--- a/internal/experiment/idle/process.go
+++ b/internal/experiment/idle/process.go
@@ -56,6 +56,7 @@
 		return nil, fmt.Errorf("write the settings of %s: %w", h.name, err)
 	}
 	h.cmd = exec.CommandContext(ctx, options.Daemon, "edge", "--settings", path)
+	h.cmd.Env = append(os.Environ(), "GOMAXPROCS=1") // as on hosts with one core
 	out, err := h.cmd.StdoutPipe()
 	if err != nil {
 		return nil, fmt.Errorf("start %s: %w", h.name, err)
--- a/internal/experiment/lag/clock.go
+++ b/internal/experiment/lag/clock.go
@@ -27,7 +27,20 @@
 	return limited, limited.cancel
 }
 
-func (c clock) AfterFunc(d time.Duration, f func()) { c.start(c.now.Add(d), c.host.notify, f) }
+func (c clock) AfterFunc(d time.Duration, f func()) (stop func() bool) {
+	done := false
+	c.start(c.now.Add(d), c.host.notify, func() {
+		if !done {
+			done = true
+			f()
+		}
+	})
+	return func() bool {
+		stopped := !done
+		done = true
+		return stopped
+	}
+}
 
 // waitUntil suspends the current process until the time, or until ctx ends. It returns the
 // error of ctx in the latter case.
--- a/internal/experiment/lag/result.go
+++ b/internal/experiment/lag/result.go
@@ -25,14 +25,16 @@
 	// Calls are the calls a second that a host makes to others on average, RemoteCalls those
 	// of them to other data centres, and ServedPeak the most calls to one host in a second.
 	Calls, RemoteCalls float64
-	ServedPeak         int
+	// Messages are the messages a second that a host sends on average.
+	Messages   float64
+	ServedPeak int
 	// StoreCalls are the calls a second of all hosts to the store, and StorePeak the most in
 	// one second.
 	StoreCalls float64
 	StorePeak  int
 	// Bytes are the bytes a second that a host receives from others on average, RemoteBytes
-	// those of them from other data centres. PartnerBytes are those of the calls that ask
-	// partners what they know, in both directions. They are measured on request.
+	// those of them from other data centres. PartnerBytes are those of the messages
+	// that tell others what a host knows. They are measured on request.
 	Bytes, RemoteBytes, PartnerBytes float64
 }
 
--- a/internal/feed/background.go
+++ b/internal/feed/background.go
@@ -22,9 +22,10 @@
 	return &background{clock: clock, ctx: ctx, cancel: cancel}
 }
 
-// after calls f in its own goroutine after the delay, unless b is stopped by then.
-func (b *background) after(delay time.Duration, f func(context.Context)) {
-	b.clock.AfterFunc(delay, func() {
+// after calls f in its own goroutine after the delay, unless b is stopped by then or stop is
+// called before.
+func (b *background) after(delay time.Duration, f func(context.Context)) (stop func() bool) {
+	return b.clock.AfterFunc(delay, func() {
 		if b.begin() {
 			defer b.running.Done()
 			f(b.ctx)
--- a/internal/feed/clock.go
+++ b/internal/feed/clock.go
@@ -14,6 +14,6 @@
 	Sleep(ctx context.Context, d time.Duration) error
 	// WithTimeout returns a context that ends after d.
 	WithTimeout(ctx context.Context, d time.Duration) (context.Context, context.CancelFunc)
-	// AfterFunc calls f in its own goroutine after d.
-	AfterFunc(d time.Duration, f func())
+	// AfterFunc calls f in its own goroutine after d, unless stop is called before.
+	AfterFunc(d time.Duration, f func()) (stop func() bool)
 }
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -64,8 +64,14 @@
 	OnStoreRead func()
 	// Peer returns a source that reads another entry host, or nil while hosts cannot
 	// call each other.
-	Peer   func(catalog.Host) PeerSource
-	Timing Timing
+	Peer func(catalog.Host) Source
+	// Send sends a message to another entry host. It must not block, and may drop the
+	// message.
+	Send func(catalog.Host, Message)
+	// OnSilent, if set, is called with the name of each host that does not answer this one. It
+	// must not block.
+	OnSilent func(name string)
+	Timing   Timing
 	// Retention is how long the catalog keeps what only flows opened earlier refer to;
 	// zero means catalog.DefaultRetention.
 	Retention time.Duration
@@ -82,8 +88,8 @@
 	Seed uint64
 }
 
-// Feed keeps a catalog up to date. Its methods may be called concurrently, Run and
-// RunOperator only once, and RunPartner only once for each slot.
+// Feed keeps a catalog up to date. Its methods may be called concurrently, Run, RunOperator
+// and RunPartners only once.
 type Feed struct {
 	options Options
 	random  *rand.Rand
@@ -128,6 +134,7 @@
 	selector *sourceSelector
 	partners *partnerSet
 	lag      lagState
+	exchange exchange
 	timing   Timing
 	catalog  *catalog.Catalog
 	// changed is closed and replaced when the catalog's view changes.
@@ -149,6 +156,7 @@
 		options: options, random: random, allowStale: true, timing: options.Timing,
 		selector:   newSourceSelector(options.Self, options.DataCentre, random),
 		partners:   newPartnerSet(options.Self, options.DataCentre),
+		exchange:   exchange{neighbours: make(map[string]*neighbour)},
 		catalog:    catalog.New(catalog.Options{OutageThreshold: options.Timing.OutageThreshold(), Retention: options.Retention}),
 		changed:    make(chan struct{}),
 		background: newBackground(options.Clock),
@@ -247,10 +255,21 @@
 // recordSourceFailure records a failed call to the host, or to the store if it is nil.
 func (f *Feed) recordSourceFailure(target *catalog.Host) {
 	f.mu.Lock()
-	defer f.mu.Unlock()
 	now := f.options.Clock.Now()
-	f.noteFailureLocked(now)
+	messages := f.noteFailureLocked(now)
 	f.selector.recordFailure(now, target)
+	f.mu.Unlock()
+	f.send(messages)
+	if target != nil {
+		f.noteSilent(target.Name)
+	}
+}
+
+// noteSilent tells that the named host does not answer.
+func (f *Feed) noteSilent(name string) {
+	if f.options.OnSilent != nil {
+		f.options.OnSilent(name)
+	}
 }
 
 // recordSourceSuccess records that the host, or the store if it is nil, answered. It
--- a/internal/feed/metrics.go
+++ b/internal/feed/metrics.go
@@ -46,10 +46,11 @@
 	m.calls.WithLabelValues(source, outcome(err)).Inc()
 }
 
-// observePartnerCall counts a call that asks a partner what it knows.
-func (m *Metrics) observePartnerCall(err error) {
-	m.calls.WithLabelValues("partner", outcome(err)).Inc()
-}
+// answered is the outcome of a call or question that was answered.
+const answered = "answered"
+
+// observePartner counts a question to a partner with its outcome.
+func (m *Metrics) observePartner(outcome string) { m.calls.WithLabelValues("partner", outcome).Inc() }
 
 // observePartnerRead counts a read of a partner that knew more than this host.
 func (m *Metrics) observePartnerRead(err error) {
@@ -66,7 +67,7 @@
 	var status *StatusError
 	switch {
 	case err == nil:
-		return "answered"
+		return answered
 	case errors.Is(err, ErrCompacted):
 		return "compacted"
 	case errors.Is(err, ErrBehind), errors.Is(err, catalog.ErrOutdated):
--- a/internal/feed/partners.go
+++ b/internal/feed/partners.go
@@ -8,43 +8,26 @@
 	"github.com/oatlatch/oatlatch/internal/catalog"
 )
 
-// PartnerSlots is the number of partners that a host asks at a time. Only the first hosts
-// of a data centre use all of them; the others use localSlots.
-const PartnerSlots = 3
-
 const (
+	// partnerSlots is the maximum number of slots of a partnerSet. Only the first hosts of a
+	// data centre use all of them; the others use localSlots.
+	partnerSlots = 3
 	// localSlots is the number of slots of a host that has partners in its own data centre
 	// only.
 	localSlots = 2
 	// gateways is the number of hosts of a data centre that have partners in others, so
-	// that few connections and bytes cross between data centres. With one, the loss of that
-	// host would cut its data centre off.
+	// that few bytes cross between data centres. With one, the loss of that host would cut
+	// its data centre off.
 	gateways = 2
 	// reserves is the number of hosts after the gateways that ask, in turn, a gateway of their
 	// own data centre and one of another. With gateways alone, a data centre is behind for
 	// seconds if both answer although nothing reaches them.
 	reserves = 6
-	// fixedPartners is the number of partners that a slot asks in turn. A new partner costs
-	// a TLS handshake, so others are asked only while these fail.
+	// fixedPartners is the number of partners that a slot asks in turn while they answer.
+	// More of them would be asked so rarely that they tell this host of few changes.
 	fixedPartners = 3
 	// reservePartners is the same of the slot in which a reserve asks gateways.
 	reservePartners = 2
-	// partnerWait is how long a partner holds a call while it knows nothing new.
-	partnerWait = 800 * time.Millisecond
-	// partnerSlack is the time beyond that for the answer to arrive. It bounds how long a
-	// silent partner blocks a slot.
-	partnerSlack = 200 * time.Millisecond
-	// partnerGap is the minimum time between two calls of a slot to partners that answer.
-	partnerGap = 250 * time.Millisecond
-	// quickFailures is the number of failed calls after which a slot asks the next partner
-	// at once. It then waits for failureGap, which limits the calls while most hosts fail.
-	quickFailures = 4
-	failureGap    = 500 * time.Millisecond
-	// isolatedFailures is the number of failed calls of each slot after which a host takes
-	// itself to be cut off.
-	isolatedFailures = 2
-	// idleGap is how long a slot waits while there is no partner.
-	idleGap = 500 * time.Millisecond
 )
 
 // partnerSet decides which partners a host asks whether they know more. The partners are
@@ -52,7 +35,11 @@
 // many hosts as it has partners.
 type partnerSet struct {
 	self, dataCentre string
-	slots            [PartnerSlots]partnerSlot
+	slots            [partnerSlots]partnerSlot
+	// turn is the number of partners asked in turn so far.
+	turn int
+	// failures is the number of partners that have not answered since the last answer.
+	failures int
 	// cooldownUntil holds the end of the last cooldown of each failed partner by name.
 	cooldownUntil map[string]time.Time
 }
@@ -63,10 +50,8 @@
 	candidates []catalog.Host
 	// fixed is the number of usable candidates that are asked in turn.
 	fixed int
-	// turn counts the calls that were answered, and failures those that failed since.
-	turn, failures int
-	// probe is set if the next partner is to answer at once.
-	probe bool
+	// turn is the number of partners asked so far.
+	turn int
 }
 
 func newPartnerSet(self, dataCentre string) *partnerSet {
@@ -96,8 +81,8 @@
 		p.candidates, p.fixed = nil, fixedPartners
 		switch {
 		case own >= 0 && own < gateways && len(remote) > 0:
-			s.setGatewayCandidates(p, neighbours, remote, own*PartnerSlots+i, i)
-		case own >= gateways && own < gateways+reserves && len(remote) > 0 && i == PartnerSlots-1:
+			s.setGatewayCandidates(p, neighbours, remote, own*partnerSlots+i, i)
+		case own >= gateways && own < gateways+reserves && len(remote) > 0 && i == partnerSlots-1:
 			p.candidates = slices.Insert(s.remoteCandidates(remote, own), 1, local[(own+1)%gateways], local[own%gateways])
 			p.fixed = reservePartners
 		case i < localSlots:
@@ -122,7 +107,7 @@
 	switch {
 	case slot >= len(remote):
 		p.candidates = append(slices.Clone(neighbours), p.candidates...)
-	case slot == PartnerSlots-1 && len(neighbours) > 0:
+	case slot == partnerSlots-1 && len(neighbours) > 0:
 		p.candidates = slices.Insert(p.candidates, first, neighbours...)
 		p.fixed = first + 1
 	default:
@@ -139,7 +124,7 @@
 	for k := range names {
 		centre := remote[names[(after+place+k)%len(names)]]
 		for j := range centre {
-			candidates = append(candidates, centre[(place/PartnerSlots+j)%len(centre)])
+			candidates = append(candidates, centre[(place/partnerSlots+j)%len(centre)])
 		}
 	}
 	return candidates
@@ -156,21 +141,6 @@
 	return max(n, 1)
 }
 
-// failing reports whether no slot has had an answer lately.
-func (s *partnerSet) failing() bool {
-	failing := false
-	for i := range s.slots {
-		if len(s.slots[i].candidates) == 0 {
-			continue
-		}
-		if s.slots[i].failures < isolatedFailures {
-			return false
-		}
-		failing = true
-	}
-	return failing
-}
-
 // localPartners returns the local hosts other than the parent of the one with the index, in
 // the order in which it prefers them: first those of other branches of the tree. For each
 // place in the order, every host has another partner.
@@ -228,9 +198,21 @@
 	s.cooldownUntil = cooldownUntil
 }
 
-// next returns the partner that the slot asks next, or nil if there is none, and how long
-// the partner may hold the call.
-func (s *partnerSet) next(now time.Time, slot int) (*catalog.Host, time.Duration) {
+// next returns the partner to ask next, or nil if there is none. The slots take turns.
+func (s *partnerSet) next(now time.Time) *catalog.Host {
+	for range s.slots {
+		slot := s.turn % len(s.slots)
+		s.turn++
+		if h := s.nextOf(now, slot); h != nil {
+			s.slots[slot].turn++
+			return h
+		}
+	}
+	return nil
+}
+
+// nextOf returns the partner that the slot asks next, or nil if there is none.
+func (s *partnerSet) nextOf(now time.Time, slot int) *catalog.Host {
 	p := &s.slots[slot]
 	usable := make([]*catalog.Host, 0, fixedPartners)
 	for i := range p.candidates {
@@ -239,32 +221,29 @@
 			usable = append(usable, h)
 		}
 	}
-	n := len(usable)
-	switch {
-	case n == 0:
-		return nil, 0
-	case p.failures > 0 || p.probe:
-		return usable[p.turn%n], 0 // its answer tells at once whether it is alive
-	default:
-		return usable[p.turn%n], partnerWait
+	if len(usable) == 0 {
+		return nil
 	}
+	return usable[p.turn%len(usable)]
 }
 
-// recordAnswer records that the partner answered the slot, which turns to the next one.
-func (s *partnerSet) recordAnswer(slot int) {
-	s.slots[slot].turn++
-	s.slots[slot].failures, s.slots[slot].probe = 0, false
+// nextOfEach returns the partners that the slots ask next, without repetition.
+func (s *partnerSet) nextOfEach(now time.Time) []catalog.Host {
+	var partners []catalog.Host
+	for slot := range s.slots {
+		h := s.nextOf(now, slot)
+		if h != nil && !slices.ContainsFunc(partners, func(p catalog.Host) bool { return p.Name == h.Name }) {
+			partners = append(partners, *h)
+		}
+	}
+	return partners
 }
 
-// recordFailure records that the partner did not answer the slot. It returns the delay
-// before the next call.
-func (s *partnerSet) recordFailure(now time.Time, slot int, h *catalog.Host) time.Duration {
-	s.cooldownUntil[h.Name] = now.Add(peerCooldown)
-	p := &s.slots[slot]
-	p.failures++
-	p.probe = false
-	if p.failures < quickFailures {
-		return 0
-	}
-	return failureGap
+// recordAnswer records that a partner has answered.
+func (s *partnerSet) recordAnswer() { s.failures = 0 }
+
+// recordFailure records that the named partner has not answered.
+func (s *partnerSet) recordFailure(now time.Time, name string) {
+	s.cooldownUntil[name] = now.Add(peerCooldown)
+	s.failures++
 }
--- a/internal/feed/snapshot.go
+++ b/internal/feed/snapshot.go
@@ -19,6 +19,13 @@
 	return page, true
 }
 
+// Complete reports whether the catalog is complete.
+func (f *Feed) Complete() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.catalog.Complete()
+}
+
 // ChangesSince returns the changes that another host with the given state lacks, and a
 // channel that is closed at the next change of the view. It returns false if the host
 // needs a listing, or while the catalog is incomplete. The update then holds no more than
@@ -30,7 +37,7 @@
 		return catalog.Update{}, f.changed, false
 	}
 	update, ok := f.catalog.ChangesSince(f.options.Clock.Now(), have)
-	update.Position, update.Via, update.Isolated = f.catalog.Position(), f.via, f.isolatedLocked()
+	update.Position, update.Via, update.Isolated = f.catalog.Position(), f.via, f.isolatedLocked(f.options.Clock.Now())
 	return update, f.changed, ok
 }
 
--- a/internal/feed/source.go
+++ b/internal/feed/source.go
@@ -22,14 +22,6 @@
 	Watch(ctx context.Context, have catalog.Have, wait time.Duration) (catalog.Update, error)
 }
 
-// PeerSource is another entry host as a source.
-type PeerSource interface {
-	Source
-	// Progress returns what the host knows, as soon as that is something which a host with
-	// the given progress lacks, but after the time wait at the latest.
-	Progress(ctx context.Context, own PeerProgress, wait time.Duration) (PeerProgress, error)
-}
-
 // PeerProgress is what another entry host knows.
 type PeerProgress struct {
 	catalog.Progress
--- a/internal/feed/view.go
+++ b/internal/feed/view.go
@@ -9,6 +9,7 @@
 	f.publishing.Lock()
 	defer f.publishing.Unlock()
 	f.mu.Lock()
+	var messages []outgoing
 	view, ok := f.catalog.TakeView()
 	events := f.catalog.TakeEvents()
 	listed := f.listed
@@ -17,9 +18,12 @@
 		f.changed = make(chan struct{})
 		f.selector.setHosts(view.Hosts)
 		f.partners.setHosts(view.Hosts)
+		f.forgetNeighboursLocked()
+		messages = f.tellNewsLocked(f.options.Clock.Now())
 		f.tellPartnersSoonLocked()
 	}
 	f.mu.Unlock()
+	f.send(messages)
 	f.logEvents(source, events)
 	if ok {
 		f.unpublished = &view
--- a/internal/seed/offer.go
+++ b/internal/seed/offer.go
@@ -15,22 +15,28 @@
 // not answer at all.
 const offerTimeout = 300 * time.Millisecond
 
-// Offer gives the page to the host at the address if that has none, or another one that it
-// was given. It reports whether the host has put it in force.
-func Offer(ctx context.Context, host netip.AddrPort, page *catalog.Page) (taken bool, err error) {
+// Offer gives a page to the host at the address if that has none, or another one that it was
+// given. needed is set if the host has no catalog of its own, and taken if it has put the page in
+// force. source returns the page, or false if there is none; it is called only if the page is
+// needed.
+func Offer(ctx context.Context, host netip.AddrPort, source func() (catalog.Page, bool)) (needed, taken bool, err error) {
 	ctx, cancel := context.WithTimeout(ctx, offerTimeout)
 	defer cancel()
 	client := newClient()
 	status, tag, err := send(ctx, client, http.MethodHead, host, nil)
-	if err != nil || status != http.StatusServiceUnavailable || tag == Tag(page) {
-		return false, err
+	if err != nil || status != http.StatusServiceUnavailable {
+		return false, false, err
 	}
-	packed, err := encode(page)
+	page, ok := source()
+	if !ok || tag == Tag(&page) {
+		return true, false, nil
+	}
+	packed, err := encode(&page)
 	if err != nil {
-		return false, err
+		return true, false, err
 	}
 	status, _, err = send(ctx, client, http.MethodPut, host, packed)
-	return status == http.StatusNoContent, err
+	return true, status == http.StatusNoContent, err
 }
 
 // send sends a request for the page of a host. It returns the status and the tag of the
--- a/internal/seed/seed_test.go
+++ b/internal/seed/seed_test.go
@@ -29,6 +29,8 @@
 	return *c.page, true
 }
 
+func (c testCatalog) Complete() bool { return c.page != nil }
+
 func at(revision uint64) catalog.Position { return catalog.Position{Revision: revision} }
 
 func wholePage() *catalog.Page {
--- a/internal/seed/server.go
+++ b/internal/seed/server.go
@@ -25,6 +25,8 @@
 type Catalog interface {
 	// Snapshot returns the whole catalog, or false while it is incomplete.
 	Snapshot() (catalog.Page, bool)
+	// Complete reports whether Snapshot returns a catalog.
+	Complete() bool
 }
 
 // Offered takes the pages that other hosts offer to one that has just started.
@@ -88,9 +90,7 @@
 
 // status returns the status of the response to the question whether the host lacks a page.
 func (s *Server) status() int {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if _, ok := s.catalog.Snapshot(); !ok && s.offered != nil {
+	if s.offered != nil && !s.catalog.Complete() {
 		return http.StatusServiceUnavailable
 	}
 	return http.StatusOK
--- a/internal/wait/clock.go
+++ b/internal/wait/clock.go
@@ -22,5 +22,8 @@
 	return context.WithTimeout(ctx, d)
 }
 
-// AfterFunc calls f in its own goroutine after d.
-func (Clock) AfterFunc(d time.Duration, f func()) { time.AfterFunc(d, f) }
+// AfterFunc calls f in its own goroutine after d, unless stop is called before. stop reports
+// whether it has prevented the call.
+func (Clock) AfterFunc(d time.Duration, f func()) (stop func() bool) {
+	return time.AfterFunc(d, f).Stop
+}
