feed: two data centres read the store, the others follow

The first hosts of the first two data centres read the store; those of others follow the first of all hosts, to which they report evidence already, so no connection is added. With one reader a store that does not answer just this host would leave all behind until its watch times out. The operator's records are still watched by the first host of each data centre.

--- a/internal/feed/operator.go
+++ b/internal/feed/operator.go
@@ -57,7 +57,7 @@
 func (f *Feed) operatorPosition() (catalog.Position, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.catalog.Position(), f.catalog.Complete() && f.selector.parent == nil
+	return f.catalog.Position(), f.catalog.Complete() && f.selector.first
 }
 
 // watchOperator makes one call and merges the answer. It returns the position from which to
--- a/internal/feed/selector.go
+++ b/internal/feed/selector.go
@@ -20,19 +20,24 @@
 	// storeRetryInterval is the time between calls to a failing store while peers
 	// are read instead.
 	storeRetryInterval = 2 * time.Second
+	// storeReaders is the number of data centres whose first hosts read the store while nothing
+	// fails. With one, all hosts would be behind while the store does not answer that host.
+	storeReaders = 2
 )
 
 // sourceSelector decides which source a host reads. The hosts of a data centre form a
-// tree in the order of catalog.View.Hosts: the first host is the root and reads the
-// store, and every other host follows its parent, that is, it reads the parent's catalog.
-// A host reads the store itself if its parent fails, and any peer if the store fails as
-// well.
+// tree in the order of catalog.View.Hosts: every host but the first follows its parent, that
+// is, it reads the parent's catalog. The first hosts of the first storeReaders data centres
+// read the store, those of the others follow the first of all hosts. A host reads the store
+// itself if its parent fails, and any peer if the store fails as well.
 type sourceSelector struct {
 	self       string
 	dataCentre string
 	random     *rand.Rand
-	// parent is the host to follow; nil for the first host.
+	// parent is the host to follow; nil for one that reads the store.
 	parent *catalog.Host
+	// first is set if this is the first host of its data centre.
+	first bool
 	// peers are the other hosts, those of this data centre first.
 	peers []catalog.Host
 	// cooldownUntil holds the end of the last cooldown of each failed peer by host name.
@@ -64,6 +69,9 @@
 		}
 	}
 	s.parent = parentOf(local, index)
+	if s.first = s.parent == nil; s.first && !readsStore(hosts, s.dataCentre) {
+		s.parent = &hosts[0]
+	}
 	s.peers = s.peers[:0]
 	cooldownUntil := make(map[string]time.Time)
 	for _, h := range append(local, remote...) {
@@ -78,6 +86,20 @@
 	s.cooldownUntil = cooldownUntil // without hosts that have left
 }
 
+// readsStore reports whether the first host of the data centre reads the store.
+func readsStore(hosts []catalog.Host, dataCentre string) bool {
+	before := make(map[string]struct{}, storeReaders)
+	for i := range hosts {
+		if hosts[i].DataCentre == dataCentre {
+			return true
+		}
+		if before[hosts[i].DataCentre] = struct{}{}; len(before) >= storeReaders {
+			return false
+		}
+	}
+	return true
+}
+
 // parentOf returns the parent in the tree of the local hosts of the one with the index, or
 // nil if it is the first. An index below 0 is that of a host that is not registered yet.
 func parentOf(local []catalog.Host, index int) *catalog.Host {
--- a/internal/feed/selector_test.go
+++ b/internal/feed/selector_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"strings"
 	"testing"
 	"time"
 
@@ -57,6 +58,31 @@
 	}
 }
 
+// TestFewHostsReadTheStore guards against calls to the store that grow with the number of data
+// centres, and against a single reader, whose silent store would leave all hosts behind.
+func TestFewHostsReadTheStore(t *testing.T) {
+	g := NewWithT(t)
+	var hosts []catalog.Host
+	for _, dataCentre := range []string{"c", "a", "d", "b"} {
+		hosts = append(hosts, hostsIn(dataCentre, 3)...)
+	}
+	sources := make(map[string]string)
+	for _, h := range hosts {
+		s := newSourceSelector(h.Name, h.DataCentre, nil)
+		s.setHosts(hosts)
+		sources[h.Name] = sourceName(s.next(start))
+		g.Expect(s.first).To(Equal(strings.HasSuffix(h.Name, "-0")), h.Name)
+		if s.first && sources[h.Name] != storeName {
+			s.recordFailure(start, s.next(start))
+			g.Expect(sourceName(s.next(start))).To(Equal(storeName), "its source has failed")
+		}
+	}
+	g.Expect(sources).To(Equal(map[string]string{
+		"c-0": storeName, "c-1": "c-0", "c-2": "c-0", "a-0": storeName, "a-1": "a-0", "a-2": "a-0",
+		"d-0": "c-0", "d-1": "d-0", "d-2": "d-0", "b-0": "c-0", "b-1": "b-0", "b-2": "b-0",
+	}))
+}
+
 func TestHostReadsStoreWhenParentFails(t *testing.T) {
 	g := NewWithT(t)
 	s := newTestSelector("a-1", hostsIn("a", 3)...)
