feed, edge: hosts that start together make fewer calls to the store

- Hosts and keys are passed on before there is a configuration (OnHosts).
- Only a registered first host watches the operator's records, and others no longer look twice a second whether they have to.
- A parent that refuses a call at once is tried again after 0.5 s, a silent one after 4 s as before.

--- a/internal/edge/host.go
+++ b/internal/edge/host.go
@@ -102,7 +102,7 @@
 	h.feed = feed.New(feed.Options{
 		Self: s.Host.ID, DataCentre: s.Host.DataCentre, Store: options.Store, Peer: h.peers.feedSource, Send: h.peers.send, OnSilent: func(name string) { h.offering.noteSilent(name) },
 		Snapshots: options.Snapshots, OnStoreRead: h.snapshots.wakeUp,
-		Timing: feed.NewTiming(s.Store.ShortestApplyWithin()), Retention: catalog.RetentionOf(s.Limits.FlowAge), OnView: h.applyView,
+		Timing: feed.NewTiming(s.Store.ShortestApplyWithin()), Retention: catalog.RetentionOf(s.Limits.FlowAge), OnView: h.applyView, OnHosts: h.applyHosts,
 		Logger: options.Logger, Metrics: feedMetrics, Now: options.Now, Seed: options.Seed,
 	})
 	if err := h.registerLag(); err != nil {
@@ -170,7 +170,6 @@
 	group, groupCtx := errgroup.WithContext(workCtx)
 	group.Go(func() error { return h.forwarder.Run(groupCtx) })
 	group.Go(func() error { return h.feed.Run(groupCtx) })
-	group.Go(func() error { return h.feed.RunOperator(groupCtx) })
 	group.Go(func() error { return h.feed.RunPartners(groupCtx) })
 	group.Go(func() error { return h.seeding.run(groupCtx, h.options.Settings.Store.Seeds) })
 	group.Go(func() error { return h.offering.run(groupCtx) })
@@ -194,12 +193,15 @@
 	return group.Wait()
 }
 
-// applyView puts a new view of the catalog in force and passes it to the parts that deal
-// with other hosts.
+// applyView puts a new view of the catalog in force.
 func (h *Host) applyView(view catalog.View) {
 	if h.seeding.admit(&view) {
 		h.serveView(view)
 	}
+}
+
+// applyHosts passes a new view of the catalog to the parts that deal with other hosts.
+func (h *Host) applyHosts(view catalog.View) {
 	h.peers.setView(&view)
 	self := &h.options.Settings.Host
 	h.progress.setView(&view, self.ID)
--- a/internal/experiment/lag/simulation.go
+++ b/internal/experiment/lag/simulation.go
@@ -92,7 +92,6 @@
 		s.store.write(catalog.Change{Host: &catalog.Host{Name: h.name, DataCentre: h.dataCentre, Peer: address, Joined: s.store.revision + 1}}, -1)
 		start := s.now.Add(s.upTo(startSpread))
 		h.run(start, h.feed.Run)
-		h.run(start, h.feed.RunOperator)
 		h.run(start, h.feed.RunPartners)
 	}
 	for _, i := range s.random.Perm(len(s.hosts))[:int(s.options.FaultyHosts*float64(len(s.hosts)))] {
--- a/internal/feed/concurrency_test.go
+++ b/internal/feed/concurrency_test.go
@@ -68,7 +68,6 @@
 	defer cancel()
 	var loops sync.WaitGroup
 	loops.Go(func() { _ = f.Run(ctx) })
-	loops.Go(func() { _ = f.RunOperator(ctx) })
 	loops.Go(func() { _ = f.RunPartners(ctx) })
 	for ctx.Err() == nil {
 		known, _, _ := f.Progress()
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -77,7 +77,10 @@
 	Retention time.Duration
 	// OnView is called with each changed view once there is a configuration and either
 	// a complete listing or some upstream.
-	OnView  func(catalog.View)
+	OnView func(catalog.View)
+	// OnHosts, if set, is called with each changed view, also before there is a configuration:
+	// hosts that start together need not wait for one to know each other.
+	OnHosts func(catalog.View)
 	Logger  zerolog.Logger
 	Metrics *Metrics
 	// Now returns the current time. It is not used if there is a Clock.
@@ -88,8 +91,8 @@
 	Seed uint64
 }
 
-// Feed keeps a catalog up to date. Its methods may be called concurrently, Run, RunOperator
-// and RunPartners only once.
+// Feed keeps a catalog up to date. Its methods may be called concurrently, Run and
+// RunPartners only once.
 type Feed struct {
 	options Options
 	random  *rand.Rand
@@ -135,8 +138,10 @@
 	partners *partnerSet
 	lag      lagState
 	exchange exchange
-	timing   Timing
-	catalog  *catalog.Catalog
+	// watchingOperator is set while the operator's records are watched.
+	watchingOperator bool
+	timing           Timing
+	catalog          *catalog.Catalog
 	// changed is closed and replaced when the catalog's view changes.
 	changed chan struct{}
 	// via is the name of the host that is read; empty if the store is read.
@@ -207,6 +212,7 @@
 		}
 	}
 	f.setVia(target)
+	began := f.options.Clock.Now()
 	err := f.read(ctx, source, listing, target != nil)
 	confirmed := f.confirming
 	f.confirming = false
@@ -216,7 +222,7 @@
 	f.options.Metrics.observeCall(target != nil, err)
 	f.publishView(name)
 	if err != nil && !errors.Is(err, ErrCompacted) {
-		f.recordSourceFailure(target)
+		f.recordSourceFailure(target, cooldownAfter(err, f.options.Clock.Now().Sub(began)))
 		return f.recordFailure(name, err)
 	}
 	complete := f.recordSourceSuccess(target)
@@ -252,12 +258,26 @@
 	return target, !f.listed
 }
 
+// refusalTime is the time within which a host that runs no process refuses a call. It covers
+// the round trip between data centres.
+const refusalTime = 100 * time.Millisecond
+
+// cooldownAfter returns how long a host is not read whose call failed after the time. One that
+// answers but is of no use, and one that does not answer, are left for longer than one that
+// refuses.
+func cooldownAfter(err error, took time.Duration) time.Duration {
+	if took > refusalTime || errors.Is(err, ErrStale) || errors.Is(err, ErrLoop) || errors.Is(err, ErrBehind) {
+		return peerCooldown
+	}
+	return refusedCooldown
+}
+
 // recordSourceFailure records a failed call to the host, or to the store if it is nil.
-func (f *Feed) recordSourceFailure(target *catalog.Host) {
+func (f *Feed) recordSourceFailure(target *catalog.Host, cooldown time.Duration) {
 	f.mu.Lock()
 	now := f.options.Clock.Now()
 	messages := f.noteFailureLocked(now)
-	f.selector.recordFailure(now, target)
+	f.selector.recordFailure(now, target, cooldown)
 	f.mu.Unlock()
 	f.send(messages)
 	if target != nil {
--- a/internal/feed/feed_test.go
+++ b/internal/feed/feed_test.go
@@ -232,6 +232,21 @@
 
 // TestViewWithoutUpstreamsIsServedOnceListed covers a configuration on the first page of a
 // listing whose other pages hold nothing that changes the view.
+// TestHostsAreKnownBeforeThereIsAConfiguration guards against hosts that start together and call
+// the store until the operator has written a configuration.
+func TestHostsAreKnownBeforeThereIsAConfiguration(t *testing.T) {
+	g := NewWithT(t)
+	f := newTestFeed(t)
+	var hosts []int
+	f.feed.options.OnHosts = func(v catalog.View) { hosts = append(hosts, len(v.Hosts)) }
+	page := f.store.pages[""]
+	page.Changes = page.Changes[2:]
+	f.store.pages[""] = page
+	f.poll()
+	g.Expect(hosts).To(Equal([]int{2}))
+	g.Expect(f.views).To(BeEmpty())
+}
+
 func TestViewWithoutUpstreamsIsServedOnceListed(t *testing.T) {
 	g := NewWithT(t)
 	f := newTestFeed(t)
--- a/internal/feed/operator.go
+++ b/internal/feed/operator.go
@@ -15,10 +15,8 @@
 	operatorWait = 20 * time.Second
 	// operatorSlack is the time beyond that for the answer to arrive.
 	operatorSlack = time.Second
-	// operatorRetry is the delay after a failed watch, and operatorIdle how often a host that
-	// does not read the store looks whether it has to.
+	// operatorRetry is the delay after a failed watch, or while the catalog is incomplete.
 	operatorRetry = 2 * time.Second
-	operatorIdle  = 500 * time.Millisecond
 )
 
 // OperatorSource is a Source that can watch the records of the operator alone.
@@ -29,35 +27,48 @@
 	WatchOperator(ctx context.Context, after catalog.Position, wait time.Duration) (catalog.Update, error)
 }
 
-// RunOperator watches the operator's records in the store until ctx ends, if this host is
-// the first of its data centre and the store can do that. Such a change is then in force
-// without the pause between two watches of all records. It always returns nil.
-func (f *Feed) RunOperator(ctx context.Context) error {
+// startOperatorLocked starts to watch the operator's records in the store if this host is the
+// first of its data centre and the store can do that. Such a change is then in force without
+// the pause between two watches of all records. f.mu must be held.
+func (f *Feed) startOperatorLocked() {
 	source, ok := f.options.Store.(OperatorSource)
-	if !ok {
-		return nil
+	if ok && f.selector.first && !f.watchingOperator {
+		f.watchingOperator = true
+		f.background.after(0, func(ctx context.Context) { f.watchWhileFirst(ctx, source) })
 	}
+}
+
+// watchWhileFirst watches the operator's records while this host is the first of its data centre.
+func (f *Feed) watchWhileFirst(ctx context.Context, source OperatorSource) {
 	var after catalog.Position
 	for {
-		delay := operatorIdle
-		if position, reads := f.operatorPosition(); reads {
-			if position.Epoch != after.Epoch || position.After(after) {
-				after = position
-			}
+		position, watching := f.operatorPosition()
+		if !watching {
+			return
+		}
+		if position.Epoch != after.Epoch || position.After(after) {
+			after = position
+		}
+		delay := operatorRetry
+		if position.Revision != 0 {
 			after, delay = f.watchOperator(ctx, source, after)
 		}
 		if f.options.Clock.Sleep(ctx, delay) != nil {
-			return nil
+			return
 		}
 	}
 }
 
-// operatorPosition returns the position up to which the catalog is complete, and whether
-// this host has to watch the operator's records.
-func (f *Feed) operatorPosition() (catalog.Position, bool) {
+// operatorPosition returns the position up to which the catalog is complete, zero if it is not,
+// and whether this host goes on to watch the operator's records.
+func (f *Feed) operatorPosition() (position catalog.Position, watching bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.catalog.Position(), f.catalog.Complete() && f.selector.first
+	if f.catalog.Complete() {
+		position = f.catalog.Position()
+	}
+	f.watchingOperator = f.selector.first
+	return position, f.watchingOperator
 }
 
 // watchOperator makes one call and merges the answer. It returns the position from which to
--- a/internal/feed/operator_test.go
+++ b/internal/feed/operator_test.go
@@ -58,19 +58,20 @@
 	g.Expect(f.feed.have().Version).To(BeEquivalentTo(2), "the watch of all records finds out about the restore")
 }
 
-// TestOnlyTheFirstHostWatchesTheOperator guards against a call to the store from each host.
+// TestOnlyTheFirstHostWatchesTheOperator guards against a call to the store from each host,
+// also while all start and are not registered yet.
 func TestOnlyTheFirstHostWatchesTheOperator(t *testing.T) {
 	g := NewWithT(t)
-	f := newTestFeed(t)
-	_, reads := f.feed.operatorPosition()
-	g.Expect(reads).To(BeFalse(), "there is no position yet")
-	f.poll()
-	position, reads := f.feed.operatorPosition()
-	g.Expect(reads).To(BeTrue())
-	g.Expect(position).To(Equal(at(7)))
-	f = newTestFeed(t)
-	f.feed.selector.self = "a-1"
-	f.poll()
-	_, reads = f.feed.operatorPosition()
-	g.Expect(reads).To(BeFalse())
+	for self, want := range map[string]bool{"a-0": true, "a-1": false, "not registered": false} {
+		f := newTestFeed(t)
+		source := &operatorSource{fakeSource: f.store}
+		f.feed.options.Store, f.feed.selector.self = source, self
+		position, _ := f.feed.operatorPosition()
+		g.Expect(position).To(BeZero(), "the catalog is incomplete")
+		f.poll()
+		g.Expect(f.feed.watchingOperator).To(Equal(want), self)
+		position, watching := f.feed.operatorPosition()
+		g.Expect(position).To(Equal(at(7)))
+		g.Expect(watching).To(Equal(want), self)
+	}
 }
--- a/internal/feed/selector.go
+++ b/internal/feed/selector.go
@@ -12,8 +12,10 @@
 	// sourceSelector. It limits the load on that host, and keeps a tree of 500 hosts at
 	// a depth of three.
 	fanOut = 8
-	// peerCooldown is how long a peer is not read after a failure.
-	peerCooldown = 4 * time.Second
+	// peerCooldown is how long a peer is not read after a failure, and refusedCooldown that
+	// after it has refused the call at once: it is probably about to start.
+	peerCooldown    = 4 * time.Second
+	refusedCooldown = 500 * time.Millisecond
 	// peerFallbackThreshold is the number of consecutive failed calls to the store
 	// after which a host reads any of its peers.
 	peerFallbackThreshold = 2
@@ -69,7 +71,8 @@
 		}
 	}
 	s.parent = parentOf(local, index)
-	if s.first = s.parent == nil; s.first && !readsStore(hosts, s.dataCentre) {
+	s.first = index == 0
+	if s.parent == nil && !readsStore(hosts, s.dataCentre) {
 		s.parent = &hosts[0]
 	}
 	s.peers = s.peers[:0]
@@ -197,12 +200,13 @@
 	}
 }
 
-// recordFailure records that the call to the host, or to the store if h is nil, failed.
-func (s *sourceSelector) recordFailure(now time.Time, h *catalog.Host) {
+// recordFailure records that the call to the host, or to the store if h is nil, failed. The
+// host is not read for the cooldown.
+func (s *sourceSelector) recordFailure(now time.Time, h *catalog.Host, cooldown time.Duration) {
 	if h == nil {
 		s.storeFailures++
 		s.storeRetryAt = now.Add(storeRetryInterval)
 		return
 	}
-	s.cooldownUntil[h.Name] = now.Add(peerCooldown)
+	s.cooldownUntil[h.Name] = now.Add(cooldown)
 }
--- a/internal/feed/selector_test.go
+++ b/internal/feed/selector_test.go
@@ -1,6 +1,7 @@
 package feed
 
 import (
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"strings"
@@ -73,7 +74,7 @@
 		sources[h.Name] = sourceName(s.next(start))
 		g.Expect(s.first).To(Equal(strings.HasSuffix(h.Name, "-0")), h.Name)
 		if s.first && sources[h.Name] != storeName {
-			s.recordFailure(start, s.next(start))
+			s.recordFailure(start, s.next(start), peerCooldown)
 			g.Expect(sourceName(s.next(start))).To(Equal(storeName), "its source has failed")
 		}
 	}
@@ -88,7 +89,7 @@
 	s := newTestSelector("a-1", hostsIn("a", 3)...)
 	parent := s.next(start)
 	g.Expect(sourceName(parent)).To(Equal("a-0"))
-	s.recordFailure(start, parent)
+	s.recordFailure(start, parent, peerCooldown)
 	g.Expect(sourceName(s.next(start))).To(Equal(storeName))
 	g.Expect(sourceName(s.next(start.Add(peerCooldown)))).To(Equal("a-0"))
 }
@@ -98,11 +99,11 @@
 	s := newTestSelector("a-0", append(hostsIn("b", 2), hostsIn("a", 2)...)...)
 	for range peerFallbackThreshold {
 		g.Expect(sourceName(s.next(start))).To(Equal(storeName))
-		s.recordFailure(start, nil)
+		s.recordFailure(start, nil, peerCooldown)
 	}
 	peer := s.next(start)
 	g.Expect(sourceName(peer)).To(Equal("a-1"), "hosts in the same data centre are preferred")
-	s.recordFailure(start, peer)
+	s.recordFailure(start, peer, peerCooldown)
 	peer = s.next(start)
 	g.Expect(sourceName(peer)).To(HavePrefix("b-"))
 	s.recordSuccess(peer)
@@ -118,7 +119,7 @@
 		if got := sourceName(s.next(start)); got != storeName {
 			t.Fatalf("host reads %s, want the store", got)
 		}
-		s.recordFailure(start, nil)
+		s.recordFailure(start, nil, peerCooldown)
 	}
 }
 
@@ -126,9 +127,21 @@
 	g := NewWithT(t)
 	s := newTestSelector("a-0", hostsIn("a", 3)...)
 	for _, h := range hostsIn("a", 3)[1:] {
-		s.recordFailure(start, &h)
+		s.recordFailure(start, &h, peerCooldown)
 	}
 	s.setHosts(hostsIn("a", 2))
 	g.Expect(s.cooldownUntil).To(HaveLen(1))
 	g.Expect(s.cooldownUntil).To(HaveKey("a-1"))
 }
+
+// TestHostThatRefusesIsReadAgainSoon guards against hosts that read the store for seconds because
+// their parent started a moment later than they.
+func TestHostThatRefusesIsReadAgainSoon(t *testing.T) {
+	g := NewWithT(t)
+	refused := errors.New("connection refused")
+	g.Expect(cooldownAfter(refused, time.Millisecond)).To(Equal(refusedCooldown))
+	g.Expect(cooldownAfter(refused, time.Second)).To(Equal(peerCooldown), "it is silent")
+	for _, err := range []error{ErrStale, ErrIsolated, ErrLoop, ErrBehind} {
+		g.Expect(cooldownAfter(err, time.Millisecond)).To(Equal(peerCooldown), "it is of no use for a while")
+	}
+}
--- a/internal/feed/view.go
+++ b/internal/feed/view.go
@@ -4,7 +4,7 @@
 
 // publishView logs the catalog's events with the source that was read last. If the view
 // changed, it also wakes the calls of other hosts, and calls OnView under the conditions
-// stated there.
+// stated there, and OnHosts.
 func (f *Feed) publishView(source string) {
 	f.publishing.Lock()
 	defer f.publishing.Unlock()
@@ -19,6 +19,7 @@
 		f.selector.setHosts(view.Hosts)
 		f.partners.setHosts(view.Hosts)
 		f.forgetNeighboursLocked()
+		f.startOperatorLocked()
 		messages = f.tellNewsLocked(f.options.Clock.Now())
 		f.tellPartnersSoonLocked()
 	}
@@ -32,6 +33,9 @@
 		f.unpublished = nil
 		f.options.OnView(*v)
 	}
+	if ok && f.options.OnHosts != nil {
+		f.options.OnHosts(view)
+	}
 }
 
 // logEvents logs changes of the catalog together with their source.
