echo, evidence: find mute upstreams by late requests, and move their flows

Cause: an upstream that accepts flows and requests and never answers, with good health checks, was seen only by overdue requests, 0.9 to 1.6 s late and for a time; its open flows stayed there and each lost its next request at the deadline, and each return of the ejected upstream lost some more. Ruled out: suspicion (SYNs and checks are answered, request packets acknowledged) and ejection alone (it cannot reset: an error is an answer).

Requests that are late without any answer since, summed over all hosts with the evidence, make an upstream mute. New flows avoid it, requests that may be repeated are reset after 0.6 s without an answer, others are never sent there, and all hosts together try it about every 2 s until it answers (docs/design/evidence.md).

--- a/internal/evidence/entry.go
+++ b/internal/evidence/entry.go
@@ -29,11 +29,19 @@
 	StrikeAge time.Duration
 	// AnswerAge is the age of the last answer, or NoAnswer.
 	AnswerAge time.Duration
+	// Late is the number of requests that are late, while no other request has been answered
+	// since the first of them was sent. LateHosts is the number of hosts with such requests, and
+	// LateAge the age of that first request.
+	Late, LateHosts int
+	LateAge         time.Duration
+	// ResponseAge is the age of the last answer to a request; zero if none is known, as in
+	// reports of earlier builds.
+	ResponseAge time.Duration
 }
 
 // combine returns the entry for the hosts of all entries together, which are of one
-// upstream. Strikes of a side are void if any other one has had an answer since, so the
-// last answer of all is found before strikes are counted: the order does not matter.
+// upstream. Strikes and late requests of a side are void if any other one has had an answer
+// since, so the last answer of all is found before they are counted: the order does not matter.
 func combine(entries []Entry) Entry {
 	sum := Entry{Upstream: entries[0].Upstream, AnswerAge: NoAnswer}
 	for _, e := range entries {
@@ -41,6 +49,9 @@
 		sum.Failed += e.Failed
 		sum.FailingHosts += e.FailingHosts
 		sum.AnswerAge = min(sum.AnswerAge, e.AnswerAge)
+		if e.ResponseAge > 0 && (sum.ResponseAge == 0 || e.ResponseAge < sum.ResponseAge) {
+			sum.ResponseAge = e.ResponseAge
+		}
 	}
 	for _, e := range entries {
 		if e.Strikes > 0 && e.StrikeAge < sum.AnswerAge {
@@ -48,12 +59,17 @@
 			sum.SilentHosts += e.SilentHosts
 			sum.StrikeAge = max(sum.StrikeAge, e.StrikeAge)
 		}
+		if e.Late > 0 && (sum.ResponseAge == 0 || e.LateAge < sum.ResponseAge) {
+			sum.Late += e.Late
+			sum.LateHosts += e.LateHosts
+			sum.LateAge = max(sum.LateAge, e.LateAge)
+		}
 	}
 	return sum
 }
 
 // questions reports whether the entry gives a reason to ask other hosts about the upstream.
-func (e *Entry) questions() bool { return e.Strikes > 0 || e.Failed >= minFailed }
+func (e *Entry) questions() bool { return e.Strikes > 0 || e.Late > 0 || e.Failed >= minFailed }
 
 // minFailed is the number of failed answers from which on an upstream is in question. Less
 // is left of a single one after one decay time.
--- a/internal/evidence/node.go
+++ b/internal/evidence/node.go
@@ -46,7 +46,7 @@
 // the decay of numbers.
 func sameStrikes(a, b []Entry) bool {
 	return slices.EqualFunc(a, b, func(x, y Entry) bool {
-		return x.Upstream == y.Upstream && x.Strikes == y.Strikes && x.FailingHosts == y.FailingHosts && y.Failed < x.Failed+minFailed
+		return x.Upstream == y.Upstream && x.Strikes == y.Strikes && x.Late == y.Late && x.FailingHosts == y.FailingHosts && y.Failed < x.Failed+minFailed
 	})
 }
 
--- a/internal/experiment/simulation.go
+++ b/internal/experiment/simulation.go
@@ -191,6 +191,9 @@
 // updateView gives the host the configuration and the current upstreams.
 func (sim *simulation) updateView(h *hostNode) {
 	view := sim.configured.view(sim)
+	for _, other := range sim.hosts {
+		view.Hosts = append(view.Hosts, catalog.Host{Name: other.name})
+	}
 	for _, u := range sim.upstreams {
 		if !u.unlisted {
 			view.Upstreams = append(view.Upstreams, u.catalogEntry(sim.now))
--- a/internal/flow/echo/choose.go
+++ b/internal/flow/echo/choose.go
@@ -16,6 +16,11 @@
 func (e *Engine) selectUpstream(now time.Time, r *route, avoid *upstream) (*upstream, *pool) {
 	p := e.pools[e.pickService(r)]
 	takesFlow := func(u *upstream) bool { return isHealthy(u) && !e.silent(now, u) && e.takesFlow(now, r, u) }
+	if avoid == nil {
+		if u := e.chooseTrial(now, r, p); u != nil {
+			return u, p
+		}
+	}
 	if u := e.chooseFromPool(now, r, p, avoid, takesFlow); u != nil {
 		return u, p
 	}
@@ -27,7 +32,12 @@
 // ejected, or else of the first that has one which accepts new flows. It returns nil if
 // none has.
 func (e *Engine) chooseFallback(now time.Time, r *route, takesFlow func(*upstream) bool) (*upstream, *pool) {
-	for _, eligible := range []func(*upstream) bool{takesFlow, isHealthy, isAvailable} {
+	available := isAvailable
+	if !r.Repeatable {
+		// A request that runs without an answer is lost.
+		available = func(u *upstream) bool { return isAvailable(u) && !u.mute() }
+	}
+	for _, eligible := range []func(*upstream) bool{takesFlow, isHealthy, available} {
 		for _, share := range r.Shares {
 			p := e.pools[share.Service]
 			if u := e.chooseFromPool(now, r, p, nil, eligible); u != nil {
@@ -38,8 +48,9 @@
 	return nil, nil
 }
 
-// isHealthy reports whether new flows may go to the upstream and it is not suspected.
-func isHealthy(u *upstream) bool { return u.acceptsFlows() && !u.suspected() }
+// isHealthy reports whether new flows may go to the upstream, and it is neither suspected nor
+// mute.
+func isHealthy(u *upstream) bool { return u.acceptsFlows() && !u.suspected() && !u.mute() }
 
 // isAvailable reports whether new flows may go to the upstream, suspected or not.
 func isAvailable(u *upstream) bool { return u.acceptsFlows() }
--- a/internal/flow/echo/ejection.go
+++ b/internal/flow/echo/ejection.go
@@ -93,11 +93,16 @@
 		// The number of failed answers never rises as it decays, so most upstreams are passed
 		// over before that. It has to be cheap, because packets wait for the engine's lock.
 		_, asked := inQuestion[id]
-		if !asked && u.unansweredFlows == 0 && u.counts.failed < minReportedFailed {
+		if asked {
+			u.askedAt = now
+		}
+		// An answer is reported for as long as older reports of other hosts may count.
+		asked = asked || now.Sub(u.askedAt) < evidence.ReportTTL || u.unansweredFlows > 0 || u.muteness.late > 0
+		if !asked && u.counts.failed < minReportedFailed {
 			continue
 		}
 		u.counts.decay(now)
-		if !asked && u.unansweredFlows == 0 && u.counts.failed < minReportedFailed {
+		if !asked && u.counts.failed < minReportedFailed {
 			continue
 		}
 		entry := evidence.Entry{Upstream: id, Answers: u.counts.answers, Failed: u.counts.failed, AnswerAge: evidence.NoAnswer}
@@ -110,6 +115,12 @@
 		if u.unansweredFlows > 0 && u.strikeSent.After(u.lastAnswer) {
 			entry.Strikes, entry.SilentHosts, entry.StrikeAge = u.unansweredFlows, 1, now.Sub(u.strikeSent)
 		}
+		if !u.answeredAt.IsZero() {
+			entry.ResponseAge = min(evidence.NoAnswer, max(1, now.Sub(u.answeredAt)))
+		}
+		if u.muteness.late > 0 {
+			entry.Late, entry.LateHosts, entry.LateAge = u.muteness.late, 1, now.Sub(u.muteness.sent)
+		}
 		entries = append(entries, entry)
 	}
 	return entries
@@ -139,6 +150,7 @@
 		}
 		u.reported, u.reportedAt = *entry, now
 		e.judgeReported(now, u)
+		e.judgeReportedMute(now, u)
 	}
 	e.evaluatePools(now)
 }
--- a/internal/flow/echo/engine.go
+++ b/internal/flow/echo/engine.go
@@ -95,8 +95,13 @@
 	recentOrigin time.Time
 	// suspectedCount is the number of suspected upstreams.
 	suspectedCount int
-	// lastAnswer is when any upstream last answered a flow of this host.
-	lastAnswer time.Time
+	// muteCount is the number of mute upstreams.
+	muteCount int
+	// hosts is the number of known entry hosts.
+	hosts int
+	// lastAnswer is when any upstream last answered a flow of this host, and lastResponse when
+	// one last answered a request.
+	lastAnswer, lastResponse time.Time
 	// lastPacket is when the last packet arrived.
 	lastPacket time.Time
 	// ignoreRetransmissionsUntil is the end of pauseGrace after the last pause.
@@ -202,7 +207,7 @@
 			e.removeRecord(key, rec)
 		case rec.state == stateClosed && idle > closedTTL, idle > e.idleTimeout:
 			e.removeRecord(key, rec)
-		case e.resetIdleFlow(now, key, rec):
+		case e.resetIdleFlow(now, key, rec), e.resetAtMute(now, key, rec):
 		case rec.awaitingResponse && now.Sub(rec.requestedAt) > rec.responseTimeout():
 			if rec.sentRequest {
 				e.reportUnanswered(now, Unanswered, key, rec)
--- a/internal/flow/echo/established.go
+++ b/internal/flow/echo/established.go
@@ -36,7 +36,7 @@
 	if retransmitted {
 		e.recordRetransmission(now, rec, rec.requestedAt)
 	}
-	if reason := e.resetReason(now, r, rec.upstream, s, retransmitted); reason != 0 && !s.RST {
+	if reason := e.resetReason(now, r, rec, s, retransmitted); reason != 0 && !s.RST {
 		d := e.withDetail(now, Decision{Verdict: Reset, Reason: reason}, r, rec.upstream, rec)
 		rec.endRequest()
 		rec.setState(stateClosed)
@@ -87,7 +87,7 @@
 		}
 		responseTime = now.Sub(rec.requestedAt)
 		e.recordResponseTime(now, r, rec, responseTime)
-		rec.upstream.answeredAt = now
+		e.recordResponse(now, rec.upstream)
 		if rec.sentRequest && !rec.overdue {
 			failed := r.typical.observe(responseTime, int64(size))
 			e.countAnswer(now, rec.upstream, failed, 1)
@@ -142,9 +142,10 @@
 // A flow with a repeatable request to a suspected upstream that is confirmed to be silent is
 // reset, so that the caller sends the request to another one. This applies only if flows
 // of that very upstream went unanswered: when its whole data centre is suspected, it may
-// still work. An evacuated upstream is not probed, so only an answer can clear it: a
+// still work. The same holds for an upstream that is mute. An evacuated upstream is not probed, so only an answer can clear it: a
 // request is given the chance, and reset once it is retransmitted.
-func (e *Engine) resetReason(now time.Time, r *route, u *upstream, s *Segment, retransmitted bool) Reason {
+func (e *Engine) resetReason(now time.Time, r *route, rec *flowRecord, s *Segment, retransmitted bool) Reason {
+	u := rec.upstream
 	departed := u.Presence == catalog.Departed
 	switch {
 	case departed && u.Draining:
@@ -153,7 +154,9 @@
 		return UpstreamLost
 	case u.evacuated && !retransmitted:
 		return 0
-	case u.unansweredFlows > 0 && e.confirmedSilent(now, u) && r.Repeatable && s.Length > 0 && !e.options.Without.Has(UnreachableReset):
+	case !r.Repeatable || s.Length == 0 || e.options.Without.Has(UnreachableReset):
+		return 0
+	case u.unansweredFlows > 0 && e.confirmedSilent(now, u), !rec.trial && e.confirmedMute(now, u):
 		return Unreachable
 	default:
 		return 0
--- a/internal/flow/echo/flow_record.go
+++ b/internal/flow/echo/flow_record.go
@@ -34,8 +34,11 @@
 	// request's response is acknowledged. A new flow thus counts as outstanding
 	// before its first request arrives.
 	awaitingResponse bool
-	// overdue is set when the outstanding request has been counted as overdue.
-	overdue bool
+	// overdue is set when the outstanding request has been counted as overdue, and late when it
+	// has been counted as late.
+	overdue, late bool
+	// trial is set if the flow was sent to a mute upstream to find out if it answers.
+	trial bool
 	// links are those in the list of the route's outstanding requests.
 	links requestLinks
 	// countedSeries is one more than the upstream's strikeSeries at the time when the flow
@@ -79,7 +82,7 @@
 // outstanding at the upstream, unless it already is.
 func (r *flowRecord) startRequest(now time.Time) {
 	r.settleOverdue(now)
-	r.requestedAt = now
+	r.requestedAt, r.late = now, false
 	if !r.awaitingResponse {
 		r.foundFreeSlot = float64(r.upstream.outstanding) < r.upstream.effectiveSlots(now)
 		r.awaitingResponse = true
--- a/internal/flow/echo/idle_reset.go
+++ b/internal/flow/echo/idle_reset.go
@@ -15,7 +15,7 @@
 	// silenceProcessingTimes is the same in processing times of the pool: upstreams that
 	// take long may answer nobody for a while.
 	silenceProcessingTimes = 4
-	// suspectedSweepInterval is the time between sweeps while upstreams are suspected.
+	// suspectedSweepInterval is the time between sweeps while upstreams are suspected or mute.
 	suspectedSweepInterval = 250 * time.Millisecond
 	// maxIdleResets is the maximum number of idle flows that wait to be reset.
 	maxIdleResets = 1024
@@ -40,6 +40,12 @@
 	if reason == 0 {
 		return false
 	}
+	e.scheduleReset(now, key, rec, reason)
+	return true
+}
+
+// scheduleReset schedules the reset of an open flow.
+func (e *Engine) scheduleReset(now time.Time, key flowKey, rec *flowRecord, reason Reason) {
 	d := e.withDetail(now, Decision{Verdict: Reset, Reason: reason}, e.routes[key.address], rec.upstream, rec)
 	e.idleResets = append(e.idleResets, idleReset{
 		segment:  Segment{Caller: key.caller, VirtualAddress: key.address, Seq: rec.nextSeq, Ack: rec.highestAck, ACK: true},
@@ -47,7 +53,6 @@
 	})
 	e.pendingResets.Add(1)
 	rec.setState(stateClosed)
-	return true
 }
 
 // idleResetReason returns why idle flows of the upstream must be reset, or 0 if they must
@@ -62,6 +67,8 @@
 		return UpstreamLeft
 	case u.suspected() && u.suspectReason != UnresponsiveDataCentre && !u.evacuated && now.Sub(u.suspectedAt) >= e.silenceBeforeReset(u):
 		return UnreachableIdle
+	case e.confirmedMute(now, u):
+		return UnreachableIdle
 	default:
 		return 0
 	}
@@ -86,7 +93,7 @@
 // sweepDue reports whether it is time for a sweep.
 func (e *Engine) sweepDue(now time.Time) bool {
 	since := now.Sub(e.lastSweep)
-	return since >= sweepInterval || e.suspectedCount > 0 && since >= suspectedSweepInterval
+	return since >= sweepInterval || e.suspectedCount+e.muteCount > 0 && since >= suspectedSweepInterval
 }
 
 // PendingResets returns the number of idle flows that wait to be reset.
--- a/internal/flow/echo/mechanism.go
+++ b/internal/flow/echo/mechanism.go
@@ -54,6 +54,8 @@
 	// SpillOver lets a share of new flows leave the data centre while local response times
 	// are longer than usual and than elsewhere.
 	SpillOver
+	// MuteDetection keeps requests from upstreams that accept them and answer none.
+	MuteDetection
 
 	mechanismCount
 )
@@ -64,6 +66,7 @@
 	UnreachableReset: "unreachable-reset", PauseGrace: "pause-grace", FailedCost: "failed-cost", Ejection: "ejection",
 	OverdueRequests: "overdue-requests", SharedEvidence: "shared-evidence", RecentRequests: "recent-requests", IdleReset: "idle-reset",
 	SpeedWeight: "speed-weight", WarmupBudget: "warmup-budget", FairQueueing: "fair-queueing", SpillOver: "spill-over",
+	MuteDetection: "mute-detection",
 }
 
 // String returns the mechanism's name.
--- /dev/null
+++ b/internal/flow/echo/mute_test.go
@@ -0,0 +1,219 @@
+package echo
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/oatlatch/oatlatch/internal/catalog"
+	"github.com/oatlatch/oatlatch/internal/evidence"
+)
+
+// leaveLate sends a request on each flow and lets them become late. Meanwhile another upstream
+// answers a request.
+func (h *harness) leaveLate(other *testFlow, flows ...*testFlow) {
+	for _, f := range flows {
+		f.sendRequest()
+	}
+	h.advance(20 * time.Millisecond)
+	other.sendRequest()
+	h.advance(20 * time.Millisecond)
+	other.ackResponse()
+	h.passPackets(other, minLate+overdueCheckInterval)
+}
+
+// muteNames returns the names of the mute upstreams.
+func (h *harness) muteNames() []string {
+	var names []string
+	for _, u := range h.engine.upstreams {
+		if u.mute() {
+			names = append(names, u.Name)
+		}
+	}
+	return names
+}
+
+// newMuteHarness returns a harness whose upstream 1 is found to be mute unless late is below
+// minLateRequests. It returns the flows by upstream.
+func newMuteHarness(t *testing.T, late int) (*harness, map[catalog.UpstreamID][]*testFlow) {
+	h := newHarness(t, tenUpstreams()...)
+	flows := h.openOnEach(10, 6)
+	h.learnUsualAnswers()
+	h.leaveLate(flows[2][0], flows[1][:late]...)
+	return h, flows
+}
+
+// TestMuteUpstreamGetsNoRequests covers an upstream that accepts flows, answers health checks and
+// answers no request: the load of deploy/days/never-answer.toml.
+func TestMuteUpstreamGetsNoRequests(t *testing.T) {
+	g := NewWithT(t)
+	h, flows := newMuteHarness(t, minLateRequests)
+	g.Expect(h.muteNames()).To(ConsistOf("i-00000001"))
+	g.Expect(h.engine.DueProbes(h.now)).To(BeEmpty(), "probes show nothing")
+	h.engine.ProbeSucceeded(h.now, 1)
+	h.engine.upstreams[1].muteness.nextTrial = h.now.Add(time.Hour)
+	for range 30 {
+		g.Expect(h.newFlow(watchAddress).open().Upstream).NotTo(BeEquivalentTo(1))
+		g.Expect(h.newFlow(orderAddress).open().Upstream).NotTo(BeEquivalentTo(1))
+	}
+	h.expectDecision(flows[1][4].sendRequest(), Forward, Known) // it may have stalled for a moment
+	h.passPackets(flows[2][0], minSilenceBeforeReset)
+	h.expectDecision(flows[1][5].sendRequest(), Reset, Unreachable)
+	resets := make(map[string]Reason)
+	for {
+		flow, d, ok := h.engine.NextReset()
+		if !ok {
+			break
+		}
+		resets[flow.Caller.String()] = d.Reason
+	}
+	g.Expect(resets).To(HaveKeyWithValue(flows[1][0].caller.String(), Unreachable), "its caller repeats the request")
+	g.Expect(resets).To(HaveKeyWithValue(flows[1][3].caller.String(), UnreachableIdle))
+	g.Expect(resets).NotTo(HaveKey(flows[2][0].caller.String()))
+}
+
+// TestRequestThatMustNotRunTwiceStaysAtAMuteUpstream guards against resets of requests that may
+// have run, and against more of them being lost there although no other upstream is left.
+func TestRequestThatMustNotRunTwiceStaysAtAMuteUpstream(t *testing.T) {
+	g := NewWithT(t)
+	h, flows := newMuteHarness(t, minLateRequests)
+	order := h.newFlow(orderAddress)
+	h.engine.upstreams[1].muteness.since = time.Time{}
+	for order.open().Upstream != 1 {
+		order = h.newFlow(orderAddress)
+	}
+	order.sendRequest()
+	h.engine.judgeMute(h.now, h.engine.upstreams[1])
+	h.passPackets(flows[2][0], 2*minSilenceBeforeReset)
+	for {
+		flow, _, ok := h.engine.NextReset()
+		if !ok {
+			break
+		}
+		g.Expect(flow.Caller).NotTo(Equal(order.caller))
+	}
+	for number := 2; number <= 10; number++ {
+		h.updateUpstream(number, func(e *catalog.Entry) { e.Draining = true })
+	}
+	h.expectDecision(h.newFlow(orderAddress).sendSYN(), Reset, NoUpstream)
+	h.expectDecision(h.newFlow(watchAddress).sendSYN(), Forward, Opened)
+}
+
+// TestWorkingUpstreamIsNotMute covers what must not be taken for a mute upstream.
+func TestWorkingUpstreamIsNotMute(t *testing.T) {
+	t.Run("few requests are late", func(t *testing.T) {
+		h, _ := newMuteHarness(t, minLateRequests-1)
+		NewWithT(t).Expect(h.muteNames()).To(BeEmpty())
+	})
+	t.Run("it answers another request", func(t *testing.T) {
+		h, flows := newMuteHarness(t, 0)
+		for _, f := range flows[1] {
+			f.sendRequest()
+		}
+		h.advance(10 * time.Millisecond)
+		flows[1][0].ackResponse()
+		h.leaveLate(flows[2][0])
+		NewWithT(t).Expect(h.muteNames()).To(BeEmpty())
+	})
+	t.Run("no upstream answers this host", func(t *testing.T) {
+		h, flows := newMuteHarness(t, 0)
+		for _, f := range flows[1] {
+			f.sendRequest()
+		}
+		h.passPackets(flows[2][0], time.Second)
+		NewWithT(t).Expect(h.muteNames()).To(BeEmpty())
+	})
+	t.Run("another host has had an answer since", func(t *testing.T) {
+		g := NewWithT(t)
+		h, _ := newMuteHarness(t, minLateRequests)
+		h.engine.SetEvidence(h.now, []evidence.Entry{{Upstream: 1, Answers: 1, ResponseAge: time.Millisecond}})
+		g.Expect(h.muteNames()).To(BeEmpty())
+		g.Expect(h.engine.upstreams[1].muteness.late).To(BeZero())
+	})
+	t.Run("half of the pool looks mute", func(t *testing.T) {
+		g := NewWithT(t)
+		h, flows := newMuteHarness(t, 0)
+		for id, f := range flows {
+			if id > 2 {
+				h.leaveLate(flows[2][0], f[:minLateRequests]...)
+			}
+		}
+		g.Expect(h.muteNames()).To(HaveLen(5))
+	})
+	t.Run("a new process runs", func(t *testing.T) {
+		h, _ := newMuteHarness(t, minLateRequests)
+		h.updateUpstream(1, func(e *catalog.Entry) { e.Started = startTime.Add(time.Hour) })
+		NewWithT(t).Expect(h.muteNames()).To(BeEmpty())
+	})
+}
+
+// TestHostsTogetherFindAMuteUpstream guards against a mute upstream of which each host sees too
+// few requests, and against hosts that hear of it late.
+func TestHostsTogetherFindAMuteUpstream(t *testing.T) {
+	g := NewWithT(t)
+	h, flows := newMuteHarness(t, 1)
+	entries := h.engine.Evidence(h.now, nil)
+	g.Expect(entries).To(HaveLen(1))
+	g.Expect(entries[0].Late).To(Equal(1))
+	g.Expect(entries[0].LateAge).To(BeNumerically(">", minLate))
+	entries[0].Late, entries[0].LateHosts = minLateRequests, minLateHosts
+	h.engine.SetEvidence(h.now, entries)
+	g.Expect(h.muteNames()).To(ConsistOf("i-00000001"))
+	other := newHarness(t, tenUpstreams()...)
+	other.engine.SetEvidence(other.now, entries)
+	g.Expect(other.muteNames()).To(ConsistOf("i-00000001"), "a host without evidence of its own")
+
+	flows[1][0].ackResponse()
+	g.Expect(h.muteNames()).To(BeEmpty())
+	answered := h.engine.Evidence(h.now, map[catalog.UpstreamID]struct{}{1: {}})
+	g.Expect(answered[0].Late).To(BeZero())
+	g.Expect(answered[0].ResponseAge).To(BeNumerically(">", 0))
+	h.advance(evidence.ReportTTL - 1)
+	g.Expect(h.engine.Evidence(h.now, nil)).To(HaveLen(1), "earlier reports of others may count for so long")
+	h.advance(1)
+	g.Expect(h.engine.Evidence(h.now, nil)).To(BeEmpty())
+	other.engine.SetEvidence(other.now.Add(time.Millisecond), answered)
+	g.Expect(other.muteNames()).To(BeEmpty())
+}
+
+// TestMuteUpstreamIsTriedRarely bounds the requests that hosts send to find out if it answers,
+// and checks that one which answers is used again.
+func TestMuteUpstreamIsTriedRarely(t *testing.T) {
+	g := NewWithT(t)
+	h, flows := newMuteHarness(t, minLateRequests)
+	const hosts, seconds = 5, 600
+	h.engine.hosts = hosts
+	trials := 0
+	for range seconds * 20 {
+		h.advance(50 * time.Millisecond)
+		flows[2][0].send(Segment{ACK: true})
+		order := h.newFlow(orderAddress)
+		g.Expect(order.open().Upstream).NotTo(BeEquivalentTo(1))
+		order.sendFIN()
+		f := h.newFlow(watchAddress)
+		if f.open().Upstream == 1 {
+			trials++
+			h.expectDecision(f.sendRequest(), Forward, Known)
+			continue
+		}
+		f.sendFIN()
+	}
+	g.Expect(trials).To(BeNumerically(">", 0))
+	g.Expect(float64(trials*hosts)/seconds).To(BeNumerically("<", 1), "requests a second of all hosts")
+	h.engine.upstreams[1].muteness.nextTrial = h.now
+	trial := h.newFlow(watchAddress)
+	g.Expect(trial.open().Upstream).To(BeEquivalentTo(1))
+	trial.sendRequest()
+	trial.ackResponse()
+	g.Expect(h.muteNames()).To(BeEmpty())
+	got := 0
+	for range 100 {
+		f := h.newFlow(orderAddress)
+		if f.open().Upstream == 1 {
+			got++
+		}
+		f.sendFIN()
+	}
+	g.Expect(got).To(BeNumerically(">", 5))
+}
--- a/internal/flow/echo/overdue.go
+++ b/internal/flow/echo/overdue.go
@@ -6,14 +6,15 @@
 // evaluated more often.
 const overdueCheckInterval = ejectionInterval
 
-// checkOverdue counts the requests that have become overdue since the last check. It only
-// looks at those and, on each route, at the one that is overdue next.
+// checkOverdue counts the requests that have become late or overdue since the last check. It
+// only looks at those and, on each route, at the one that is next.
 func (e *Engine) checkOverdue(now time.Time) {
 	e.overdueCheckedAt = now
 	if e.options.Without.Has(OverdueRequests) {
 		return
 	}
 	for _, r := range e.routes {
+		e.checkLate(now, r)
 		for rec := r.outstanding.first; rec != nil && r.isOverdue(now, rec); {
 			next := rec.links.next
 			e.countOverdue(now, r, rec)
--- a/internal/flow/echo/reason.go
+++ b/internal/flow/echo/reason.go
@@ -69,6 +69,8 @@
 	Reported
 	// Expired means that the reports of other hosts have ended.
 	Expired
+	// NoResponses means that requests of the upstream are late and none has been answered since.
+	NoResponses
 	// FailedAnswers means that answers are much shorter than usual and not slower, or
 	// overdue.
 	FailedAnswers
@@ -119,6 +121,7 @@
 	UnresponsiveDataCentre: "silent-site",
 	Reported:               "reported",
 	Expired:                "expired",
+	NoResponses:            "no-responses",
 	FailedAnswers:          "failed-answers",
 	Answered:               "answered",
 	Reachable:              "reachable",
--- a/internal/flow/echo/upstream.go
+++ b/internal/flow/echo/upstream.go
@@ -16,10 +16,12 @@
 	counts answerCounts
 	// answeredAt is when a request of this host was last answered.
 	answeredAt time.Time
-	// reported is the evidence of all hosts at reportedAt.
-	reported   evidence.Entry
-	reportedAt time.Time
-	token      Token
+	muteness   muteness
+	// reported is the evidence of all hosts at reportedAt, and askedAt is when another host last
+	// had the upstream in question.
+	reported            evidence.Entry
+	reportedAt, askedAt time.Time
+	token               Token
 	// seen is the current process.
 	seen processSeen
 	// local is set if the upstream is in the host's own data centre.
--- a/internal/flow/echo/upstream_state.go
+++ b/internal/flow/echo/upstream_state.go
@@ -47,7 +47,7 @@
 	var states []UpstreamState
 	for _, u := range e.upstreams {
 		cold, share := now.Before(u.WarmUntil), u.ejection.share(now)
-		if u.Presence == catalog.Departed || !cold && !u.Draining && !u.suspected() && share == 1 {
+		if u.Presence == catalog.Departed || !cold && !u.Draining && !u.suspected() && !u.mute() && share == 1 {
 			continue
 		}
 		s := UpstreamState{
@@ -57,8 +57,11 @@
 		if cold {
 			s.ColdUntil = u.WarmUntil
 		}
-		if u.suspected() {
+		switch {
+		case u.suspected():
 			s.SuspectedSince, s.SuspectReason = u.suspectedAt, u.suspectReason
+		case u.mute():
+			s.SuspectedSince, s.SuspectReason = u.muteness.since, NoResponses
 		}
 		if j := &u.ejection; share < 1 {
 			s.Ejection = &EjectionState{Until: j.until, Share: share, Answers: float64(j.answers), FailedAnswers: float64(j.failed), FailingHosts: j.hosts}
--- a/internal/flow/echo/view.go
+++ b/internal/flow/echo/view.go
@@ -13,7 +13,7 @@
 func (e *Engine) SetView(now time.Time, view catalog.View) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.viewSetAt, e.partial = now, view.Partial
+	e.viewSetAt, e.partial, e.hosts = now, view.Partial, len(view.Hosts)
 	e.former, e.historyCompleteAt = view.Former, view.HistoryCompleteAt
 	if c := view.Configuration; c != nil && c.Version != e.version {
 		e.applyConfiguration(c)
@@ -75,6 +75,7 @@
 		if u.Presence != 0 && !u.Started.Equal(entry.Started) {
 			// A new process uses the same ID. Suspicion and hold-down applied to the old one.
 			e.clearSuspicion(now, u, Restarted)
+			e.clearMute(now, u)
 			u.holdDown = 0
 			u.ejection, u.counts = ejection{}, answerCounts{}
 			u.recent = recentRequests{ineligible: true}
@@ -110,10 +111,13 @@
 		p.upstreams = append(p.upstreams, u)
 	}
 	e.upstreams = upstreams
-	e.suspectedCount = 0
+	e.suspectedCount, e.muteCount = 0, 0
 	for _, u := range upstreams {
 		if u.suspected() {
 			e.suspectedCount++
 		}
+		if u.mute() {
+			e.muteCount++
+		}
 	}
 }
