echo: reset flows of mute upstreams only on late requests over a span of time

Open flows were reset although their upstream served. Causes, from the hosts' lines:

- Hosts that were frozen for 5 s woke with requests outstanding whose answers had been acknowledged to other hosts.
They counted as late (age_ms=5806), and other upstreams had answered since.
A request that is noticed 0.4 s after it is due no longer counts.
- Upstreams that had been dark were taken for mute as well as suspected.
A probe ended the suspicion when they were back; nothing ended the other but a rare trial, 7 s later.
An upstream that takes no packets is no longer mute, and resets need a late request of the last 3 s.
- By reading: when routers move flows, the requests in progress look late at the host before.
All were sent within a typical time, so resets now need late requests that were sent 0.2 s apart.

Trials are sent every 1.5 s by all hosts together.

--- a/internal/evidence/entry.go
+++ b/internal/evidence/entry.go
@@ -31,9 +31,9 @@
 	AnswerAge time.Duration
 	// Late is the number of requests that are late, while no other request has been answered
 	// since the first of them was sent. LateHosts is the number of hosts with such requests, and
-	// LateAge the age of that first request.
-	Late, LateHosts int
-	LateAge         time.Duration
+	// LateAge and LastLateAge the ages of the first and of the last such request.
+	Late, LateHosts      int
+	LateAge, LastLateAge time.Duration
 	// ResponseAge is the age of the last answer to a request; zero if none is known, as in
 	// reports of earlier builds.
 	ResponseAge time.Duration
@@ -60,6 +60,9 @@
 			sum.StrikeAge = max(sum.StrikeAge, e.StrikeAge)
 		}
 		if e.Late > 0 && (sum.ResponseAge == 0 || e.LateAge < sum.ResponseAge) {
+			if sum.Late == 0 || e.LastLateAge < sum.LastLateAge {
+				sum.LastLateAge = e.LastLateAge
+			}
 			sum.Late += e.Late
 			sum.LateHosts += e.LateHosts
 			sum.LateAge = max(sum.LateAge, e.LateAge)
--- a/internal/evidence/report.go
+++ b/internal/evidence/report.go
@@ -47,6 +47,7 @@
 	e.StrikeAge += d
 	e.AnswerAge = min(NoAnswer, e.AnswerAge+d)
 	e.LateAge += d
+	e.LastLateAge += d
 	if e.ResponseAge > 0 {
 		e.ResponseAge = min(NoAnswer, e.ResponseAge+d)
 	}
@@ -72,5 +73,5 @@
 	finite := func(v float32) bool { return v >= 0 && v < math.MaxInt32 }
 	return finite(e.Answers) && finite(e.Failed) && e.Failed <= e.Answers+1 && e.FailingHosts >= 0 && e.Strikes >= 0 && e.SilentHosts >= 0 &&
 		e.SilentHosts <= e.Strikes && e.StrikeAge >= 0 && e.AnswerAge >= 0 && e.AnswerAge <= NoAnswer &&
-		e.Late >= 0 && e.LateHosts >= 0 && e.LateHosts <= e.Late && e.LateAge >= 0 && e.ResponseAge >= 0 && e.ResponseAge <= NoAnswer
+		e.Late >= 0 && e.LateHosts >= 0 && e.LateHosts <= e.Late && e.LateAge >= 0 && e.LastLateAge >= 0 && e.LastLateAge <= e.LateAge && e.ResponseAge >= 0 && e.ResponseAge <= NoAnswer
 }
--- a/internal/flow/echo/ejection.go
+++ b/internal/flow/echo/ejection.go
@@ -119,7 +119,8 @@
 			entry.ResponseAge = min(evidence.NoAnswer, max(1, now.Sub(u.answeredAt)))
 		}
 		if u.muteness.late > 0 {
-			entry.Late, entry.LateHosts, entry.LateAge = u.muteness.late, 1, now.Sub(u.muteness.sent)
+			entry.Late, entry.LateHosts = u.muteness.late, 1
+			entry.LateAge, entry.LastLateAge = now.Sub(u.muteness.sent), now.Sub(u.muteness.lastSent)
 		}
 		entries = append(entries, entry)
 	}
--- a/internal/flow/echo/mute.go
+++ b/internal/flow/echo/mute.go
@@ -12,6 +12,9 @@
 	// before minLate. Late requests are usual; that an upstream answers none meanwhile is not.
 	lateFactor = 4
 	minLate    = 150 * time.Millisecond
+	// lateNotice is the time within which a late request is noticed. One that is noticed later
+	// says nothing: this host was paused, or packets of the flow no longer come through it.
+	lateNotice = 400 * time.Millisecond
 	// minLateRequests and minLateHosts are the numbers of late requests, and of hosts that have
 	// some, that make an upstream mute. One host is enough if it has as many.
 	minLateRequests = 3
@@ -19,34 +22,69 @@
 	// maxMuteFraction is the largest part of a pool that may be mute. If more upstreams answer
 	// nothing, something else has failed.
 	maxMuteFraction = 0.5
-	// trialInterval is the mean time between two requests that all hosts together send to a mute
-	// upstream to find out if it answers. It grows to a quarter of the time since it fell mute.
-	trialInterval = 2 * time.Second
-	trialFraction = 4
+	// minLateSpan is the minimum time between the first and the last request without an answer
+	// before flows are reset. When routers move flows to another host, the answers to all requests
+	// that are in progress are acknowledged there: these were sent within a typical time.
+	minLateSpan = 200 * time.Millisecond
+	// lateValidity is how long the last request without an answer counts for resets. An upstream
+	// that has answered again since may be known to no host yet.
+	lateValidity = 3 * time.Second
+	// trialInterval is the mean time between two trials of all hosts together.
+	trialInterval = 1500 * time.Millisecond
 )
 
 // muteness tells whether an upstream accepts requests and answers none. Probes do not show it:
 // they are answered, and so are SYNs.
 type muteness struct {
 	// late is the number of requests of this host that are late, or have ended without an answer
-	// after they were, since the upstream last answered a request of this host. sent is when the
-	// first of them was sent.
-	late int
-	sent time.Time
+	// after they were, since the upstream last answered a request of this host. sent and lastSent
+	// are when the first and the last of them were sent.
+	late           int
+	sent, lastSent time.Time
 	// since is when the upstream was found to be mute; zero if it is not. silentSince is when the
-	// first request without an answer was sent, by any host.
+	// first request without an answer had been sent then, by any host.
 	since, silentSince time.Time
-	// nextTrial is when this host may send it a request again.
+	// nextTrial is when this host may send a request to find out if the upstream answers.
 	nextTrial time.Time
 }
 
-// mute reports whether the upstream answers no requests.
+// mute reports whether the upstream seems to answer no requests. New flows avoid it.
 func (u *upstream) mute() bool { return !u.muteness.since.IsZero() }
 
-// confirmedMute reports whether the upstream has answered no request for so long that its flows
-// are reset. One that works may stall for a moment.
+// lateRequests are the requests of an upstream that are late since its last answer, to all hosts
+// as far as they are known.
+type lateRequests struct {
+	count, hosts   int
+	sent, lastSent time.Time
+}
+
+// lateRequestsOf returns the late requests of the upstream.
+func (u *upstream) lateRequestsOf(now time.Time) lateRequests {
+	m := &u.muteness
+	l := lateRequests{count: m.late, sent: m.sent, lastSent: m.lastSent}
+	if m.late > 0 {
+		l.hosts = 1
+	}
+	if r := &u.reported; r.Late > 0 && now.Sub(u.reportedAt) < evidence.ReportTTL {
+		if sent := u.reportedAt.Add(-r.LateAge); u.answeredAt.Before(sent) {
+			l.count, l.hosts = max(l.count, r.Late), max(l.hosts, r.LateHosts)
+			l.lastSent = latest(l.lastSent, u.reportedAt.Add(-r.LastLateAge))
+			if l.sent.IsZero() || sent.Before(l.sent) {
+				l.sent = sent
+			}
+		}
+	}
+	return l
+}
+
+// confirmedMute reports whether the upstream has answered no requests for so long that its flows
+// are reset.
 func (e *Engine) confirmedMute(now time.Time, u *upstream) bool {
-	return u.mute() && now.Sub(u.muteness.silentSince) >= e.silenceBeforeReset(u)
+	if !u.mute() {
+		return false
+	}
+	l := u.lateRequestsOf(now)
+	return l.lastSent.Sub(l.sent) >= minLateSpan && now.Sub(l.sent) >= e.silenceBeforeReset(u) && now.Sub(l.lastSent) < lateValidity
 }
 
 // lateAfter returns the time after which a request counts as late, or zero while the typical
@@ -65,15 +103,18 @@
 		return
 	}
 	for rec := r.outstanding.first; rec != nil && now.Sub(rec.requestedAt) > limit; rec = rec.links.next {
-		e.countLate(now, rec)
+		if !rec.late && now.Sub(rec.requestedAt) <= limit+lateNotice {
+			e.countLate(now, rec)
+		}
 	}
 }
 
 // countLate counts the flow's request, which is late, unless its upstream has answered another
-// one since, or no upstream has: then this host's own link is the more likely cause.
+// one since, or no upstream has: then this host's own link is the more likely cause. One that is
+// suspected does not even take packets.
 func (e *Engine) countLate(now time.Time, rec *flowRecord) {
 	u := rec.upstream
-	if rec.late || u.answeredAt.After(rec.requestedAt) || !e.lastResponse.After(rec.requestedAt) || now.Before(e.ignoreRetransmissionsUntil) {
+	if u.suspected() || u.answeredAt.After(rec.requestedAt) || !e.lastResponse.After(rec.requestedAt) || now.Before(e.ignoreRetransmissionsUntil) {
 		return
 	}
 	rec.late = true
@@ -81,6 +122,7 @@
 		u.muteness.sent = rec.requestedAt
 	}
 	u.muteness.late++
+	u.muteness.lastSent = latest(u.muteness.lastSent, rec.requestedAt)
 	e.noteEvidence()
 	e.judgeMute(now, u)
 }
@@ -91,44 +133,31 @@
 	if u.muteness.late > 0 || u.mute() {
 		e.noteEvidence()
 	}
-	e.clearMute(now, u)
+	e.clearMute(now, u, Answered)
 }
 
 // clearMute ends the state of a mute upstream, if it is one, and forgets its late requests.
-func (e *Engine) clearMute(now time.Time, u *upstream) {
+func (e *Engine) clearMute(now time.Time, u *upstream, reason Reason) {
 	if u.mute() {
 		if e.upstreams[u.ID] == u {
 			e.muteCount-- // an upstream that left the view no longer counts
 		}
-		e.report(Event{Kind: Cleared, Upstream: u.Name, DataCentre: u.DataCentre, Reason: Answered, Age: now.Sub(u.muteness.since)})
+		e.report(Event{Kind: Cleared, Upstream: u.Name, DataCentre: u.DataCentre, Reason: reason, Age: now.Sub(u.muteness.since)})
 	}
 	u.muteness = muteness{}
 }
 
 // judgeMute decides whether the upstream is mute by the late requests of all hosts.
 func (e *Engine) judgeMute(now time.Time, u *upstream) {
-	m := &u.muteness
-	late, hosts, silentSince := m.late, 0, m.sent
-	if m.late > 0 {
-		hosts = 1
-	}
-	if reported := &u.reported; now.Sub(u.reportedAt) < evidence.ReportTTL && reported.Late > 0 {
-		since := u.reportedAt.Add(-reported.LateAge)
-		if u.answeredAt.Before(since) {
-			late, hosts = max(late, reported.Late), max(hosts, reported.LateHosts)
-			if silentSince.IsZero() || since.Before(silentSince) {
-				silentSince = since
-			}
-		}
-	}
-	enough := late >= minLateRequests && (hosts >= minLateHosts || m.late >= minLateRequests)
-	if u.mute() || !enough || u.Presence == catalog.Departed || !e.mayBeMute(u) {
+	l := u.lateRequestsOf(now)
+	enough := l.count >= minLateRequests && (l.hosts >= minLateHosts || u.muteness.late >= minLateRequests)
+	if u.mute() || !enough || u.suspected() || u.Presence == catalog.Departed || !e.mayBeMute(u) {
 		return
 	}
-	m.since, m.silentSince = now, silentSince
-	m.nextTrial = e.nextTrial(now, u)
+	u.muteness.since, u.muteness.silentSince = now, l.sent
+	e.planTrial(now, u)
 	e.muteCount++
-	e.report(Event{Kind: Suspected, Upstream: u.Name, DataCentre: u.DataCentre, Reason: NoResponses, UnansweredFlows: late, Hosts: hosts, Age: timeSince(now, u.answeredAt)})
+	e.report(Event{Kind: Suspected, Upstream: u.Name, DataCentre: u.DataCentre, Reason: NoResponses, UnansweredFlows: l.count, Hosts: l.hosts, Age: timeSince(now, u.answeredAt)})
 }
 
 // mayBeMute reports whether few enough upstreams of the pool are mute for another one to be.
@@ -151,18 +180,18 @@
 	if age := u.reported.ResponseAge; age > 0 {
 		answered, m := now.Add(-age), &u.muteness
 		if m.late > 0 && answered.After(m.sent) || m.late == 0 && u.mute() && answered.After(m.silentSince) {
-			e.clearMute(now, u)
+			e.clearMute(now, u, Answered)
 			return
 		}
 	}
 	e.judgeMute(now, u)
 }
 
-// nextTrial returns when this host may send the mute upstream another request. The hosts do so
-// at random, so that together they rarely exceed the rate that trialInterval gives.
-func (e *Engine) nextTrial(now time.Time, u *upstream) time.Time {
-	mean := max(trialInterval, now.Sub(u.muteness.since)/trialFraction) * time.Duration(max(1, e.hosts))
-	return now.Add(time.Duration(e.random.ExpFloat64() * float64(mean)))
+// planTrial determines when this host may send the next trial. The hosts do so at random, so that
+// all together send one in each trialInterval on average.
+func (e *Engine) planTrial(now time.Time, u *upstream) {
+	mean := trialInterval * time.Duration(max(1, e.hosts))
+	u.muteness.nextTrial = now.Add(time.Duration(e.random.ExpFloat64() * float64(mean)))
 }
 
 // chooseTrial returns a mute upstream of the pool to which a new flow of the route is sent to
@@ -172,8 +201,8 @@
 		return nil
 	}
 	for _, u := range p.upstreams {
-		if u.mute() && u.acceptsFlows() && !u.suspected() && !now.Before(u.muteness.nextTrial) && r.allows(u) && e.withinWarmup(now, u) {
-			u.muteness.nextTrial = e.nextTrial(now, u)
+		if u.mute() && u.acceptsFlows() && !now.Before(u.muteness.nextTrial) && r.allows(u) && e.withinWarmup(now, u) {
+			e.planTrial(now, u)
 			return u
 		}
 	}
@@ -182,11 +211,11 @@
 
 // resetAtMute schedules the reset of a flow with an outstanding request that may be repeated if
 // its upstream is mute, so that the caller sends it to another one. A trial has until it is
-// overdue. It reports whether the flow is reset.
+// late. It reports whether the flow is reset.
 func (e *Engine) resetAtMute(now time.Time, key flowKey, rec *flowRecord) bool {
 	r := e.routes[key.address]
 	if r == nil || !r.Repeatable || rec.state != stateOpen || !rec.awaitingResponse || !rec.sentRequest || len(e.idleResets) >= maxIdleResets ||
-		!e.confirmedMute(now, rec.upstream) || e.options.Without.Has(UnreachableReset) || rec.trial && !r.isOverdue(now, rec) {
+		!e.confirmedMute(now, rec.upstream) || e.options.Without.Has(UnreachableReset) || rec.trial && !rec.late {
 		return false
 	}
 	e.scheduleReset(now, key, rec, Unreachable)
--- a/internal/flow/echo/mute_test.go
+++ b/internal/flow/echo/mute_test.go
@@ -57,9 +57,15 @@
 		g.Expect(h.newFlow(watchAddress).open().Upstream).NotTo(BeEquivalentTo(1))
 		g.Expect(h.newFlow(orderAddress).open().Upstream).NotTo(BeEquivalentTo(1))
 	}
-	h.expectDecision(flows[1][4].sendRequest(), Forward, Known) // it may have stalled for a moment
-	h.passPackets(flows[2][0], minSilenceBeforeReset)
+	h.expectDecision(flows[1][4].sendRequest(), Forward, Known) // it may have answered through other hosts
+	h.passPackets(flows[2][0], time.Second)
+	h.expectDecision(flows[1][4].retransmit(), Forward, Known)
+	h.engine.upstreams[1].muteness.nextTrial = h.now
+	trial := h.newFlow(watchAddress)
+	g.Expect(trial.open().Upstream).To(BeEquivalentTo(1))
+	h.leaveLate(flows[2][0], trial)
 	h.expectDecision(flows[1][5].sendRequest(), Reset, Unreachable)
+	h.passPackets(flows[2][0], suspectedSweepInterval)
 	resets := make(map[string]Reason)
 	for {
 		flow, d, ok := h.engine.NextReset()
@@ -71,6 +77,11 @@
 	g.Expect(resets).To(HaveKeyWithValue(flows[1][0].caller.String(), Unreachable), "its caller repeats the request")
 	g.Expect(resets).To(HaveKeyWithValue(flows[1][3].caller.String(), UnreachableIdle))
 	g.Expect(resets).NotTo(HaveKey(flows[2][0].caller.String()))
+	h.engine.upstreams[1].muteness.nextTrial = h.now.Add(time.Hour)
+	h.passPackets(flows[2][0], lateValidity)
+	late := h.newFlow(watchAddress)
+	late.token = h.engine.upstreams[1].token
+	h.expectDecision(late.sendRequest(), Forward, Echoed) // it may answer by now
 }
 
 // TestRequestThatMustNotRunTwiceStaysAtAMuteUpstream guards against resets of requests that may
@@ -141,6 +152,29 @@
 		}
 		g.Expect(h.muteNames()).To(HaveLen(5))
 	})
+	t.Run("the host was paused, or the flows have moved to another host", func(t *testing.T) {
+		g := NewWithT(t)
+		h, flows := newMuteHarness(t, 0)
+		for _, f := range flows[1] {
+			f.sendRequest()
+		}
+		h.advance(time.Second)
+		flows[2][0].sendRequest()
+		flows[2][0].ackResponse()
+		h.passPackets(flows[2][0], time.Second)
+		g.Expect(h.muteNames()).To(BeEmpty())
+	})
+	t.Run("it takes no packets", func(t *testing.T) {
+		g := NewWithT(t)
+		h, flows := newMuteHarness(t, minLateRequests)
+		flows[1][0].retransmit()
+		flows[1][1].retransmit()
+		g.Expect(h.suspectedNames()).To(ConsistOf("i-00000001"))
+		g.Expect(h.muteNames()).To(BeEmpty())
+		h.engine.ProbeSucceeded(h.now, 1)
+		h.passPackets(flows[2][0], time.Second)
+		g.Expect(h.muteNames()).To(BeEmpty())
+	})
 	t.Run("a new process runs", func(t *testing.T) {
 		h, _ := newMuteHarness(t, minLateRequests)
 		h.updateUpstream(1, func(e *catalog.Entry) { e.Started = startTime.Add(time.Hour) })
@@ -187,7 +221,8 @@
 	trials := 0
 	for range seconds * 20 {
 		h.advance(50 * time.Millisecond)
-		flows[2][0].send(Segment{ACK: true})
+		flows[2][0].sendRequest()
+		flows[2][0].ackResponse()
 		order := h.newFlow(orderAddress)
 		g.Expect(order.open().Upstream).NotTo(BeEquivalentTo(1))
 		order.sendFIN()
--- a/internal/flow/echo/suspicion.go
+++ b/internal/flow/echo/suspicion.go
@@ -141,6 +141,7 @@
 // suspect marks an upstream as suspected. New flows avoid it until it answers a flow,
 // a probe clears it or a new process uses its ID.
 func (e *Engine) suspect(now time.Time, u *upstream, reason Reason) {
+	e.clearMute(now, u, reason) // its requests are late because it takes no packets
 	u.suspectedAt, u.suspectReason, u.lastProbe = now, reason, time.Time{}
 	u.byReports = reason == Reported
 	if u.byReports {
--- a/internal/flow/echo/upstream_state_test.go
+++ b/internal/flow/echo/upstream_state_test.go
@@ -85,3 +85,15 @@
 	g.Expect(state.SuspectedSince).To(Equal(since))
 	g.Expect([]int{state.OpenFlows, state.Outstanding}).To(Equal([]int{2, 2}))
 }
+
+// TestTokenIsThatOfReleasedBuilds guards against open flows that lose their upstream in an
+// upgrade: callers echo the token to hosts of either build.
+func TestTokenIsThatOfReleasedBuilds(t *testing.T) {
+	for id, want := range map[catalog.UpstreamID]Token{
+		1: 1, 0x9e16b79e8c: 0x16b79e12, 0xffffffff00000000: 0xffffffff, 0x1234567812345678: ^Token(0),
+	} {
+		if got := tokenOf(id); got != want {
+			t.Errorf("token of %x is %x, want %x", uint64(id), uint32(got), uint32(want))
+		}
+	}
+}
