--- a/cmd/oatlatch/soak.go
+++ b/cmd/oatlatch/soak.go
@@ -15,6 +15,7 @@
 // soakCommand runs edge hosts as processes and injects faults into them.
 type soakCommand struct {
 	Daemon  string `placeholder:"FILE" help:"oatlatchd to run; by default the one beside this program."`
+	Earlier string `placeholder:"COMMIT" help:"Commit of an earlier build, from the history of the repository in the current directory, or 'production' for the one of deploy/system.toml: hosts are upgraded from it one after the other, and go back."`
 	Seed    uint64 `help:"Seed of the first run; 0 draws one."`
 	Runs    int    `default:"1" help:"Runs, each with the next seed."`
 	Seconds int    `default:"30" help:"How long faults are injected in each run."`
@@ -35,7 +36,7 @@
 	if c.Callers < 1 || c.Callers > maxLoopbackAddresses || c.Hosts < 1 || c.Hosts > maxLoopbackAddresses {
 		return fmt.Errorf("--callers %d and --hosts %d: must be numbers from 1 to %d", c.Callers, c.Hosts, maxLoopbackAddresses)
 	}
-	options, closeFiles, err := c.options()
+	options, closeFiles, err := c.options(ctx)
 	if err != nil {
 		return err
 	}
@@ -69,7 +70,7 @@
 
 // options returns the options of the first run, and a function that closes the
 // log file.
-func (c *soakCommand) options() (soak.Options, func(), error) {
+func (c *soakCommand) options(ctx context.Context) (soak.Options, func(), error) {
 	options := soak.Options{
 		Seed: c.Seed, Duration: time.Duration(c.Seconds) * time.Second, Hosts: c.Hosts, Callers: c.Callers,
 	}
@@ -80,6 +81,11 @@
 	if options.Daemon, err = daemonPath(c.Daemon); err != nil {
 		return options, nil, err
 	}
+	if c.Earlier != "" {
+		if options.Earlier, err = earlierDaemon(ctx, c.Earlier); err != nil {
+			return options, nil, err
+		}
+	}
 	if c.Verbose {
 		options.Progress = os.Stderr
 	}
--- a/internal/soak/host.go
+++ b/internal/soak/host.go
@@ -39,6 +39,8 @@
 	// activeFaults is the number of faults of the host in progress.
 	activeFaults int
 	paused       bool
+	// earlier is set while the process that starts next is of the earlier build.
+	earlier bool
 	// badSettings is set while the settings file is invalid. A process that starts
 	// then logs the error and exits.
 	badSettings bool
@@ -75,14 +77,18 @@
 // start starts the process, unless the run is shutting down. Whenever the process exits,
 // handleExit starts it again.
 func (h *hostProcess) start() error {
-	cmd := exec.Command(h.run.options.Daemon, "edge", "--settings", h.settingsFile)
-	cmd.Stdout, cmd.Stderr = h.run.log, h.run.log
 	// tearDown sets shuttingDown before it locks mu, so that it sees each process started.
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if h.run.shuttingDown.Load() {
 		return nil
 	}
+	daemon := h.run.options.Daemon
+	if h.earlier {
+		daemon = h.run.options.Earlier
+	}
+	cmd := exec.Command(daemon, "edge", "--settings", h.settingsFile)
+	cmd.Stdout, cmd.Stderr = h.run.log, h.run.log
 	if err := cmd.Start(); err != nil {
 		return fmt.Errorf("start %s: %w", h.name, err)
 	}
--- a/internal/soak/options.go
+++ b/internal/soak/options.go
@@ -9,6 +9,9 @@
 type Options struct {
 	// Daemon is the path of the oatlatchd binary.
 	Daemon string
+	// Earlier, if set, is the path of that of an earlier build. All hosts then start with it,
+	// are upgraded one after the other, and go back one after the other.
+	Earlier string
 	// Seed seeds the choice of faults and the behaviour of callers.
 	Seed uint64
 	// Duration is how long faults are injected.
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -142,7 +142,7 @@
 		for i := range r.options.Hosts {
 			address := netip.AddrFrom4([4]byte{127, 10, byte(dc), byte(i + 1)})
 			h := &hostProcess{
-				run: r, name: fmt.Sprintf("%s-%d", dataCentreName(dc), i), dataCentre: dataCentreName(dc),
+				run: r, earlier: r.options.Earlier != "", name: fmt.Sprintf("%s-%d", dataCentreName(dc), i), dataCentre: dataCentreName(dc),
 				failedChecks: maxFailedChecks, withdrawn: true, // until the first check succeeds
 				packetAddress: netip.AddrPortFrom(address, r.basePort), readyAddress: netip.AddrPortFrom(address, r.basePort+1), peerAddress: netip.AddrPortFrom(address, r.basePort+2),
 			}
@@ -285,6 +285,9 @@
 // settleTime to recover. Then it keeps callers running for the final check.
 func (r *soakRun) execute(ctx context.Context) {
 	started := time.Now()
+	if r.options.Earlier != "" {
+		r.runInBackground(r.upgradeAndGoBack)
+	}
 	for time.Since(started) < r.options.Duration && ctx.Err() == nil {
 		time.Sleep(time.Duration(100+r.random.IntN(700)) * time.Millisecond)
 		kinds := plannedOperations
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -9,6 +9,8 @@
 	"strings"
 	"testing"
 	"time"
+
+	"github.com/oatlatch/oatlatch/internal/release/releasetest"
 )
 
 // seeds are the seeds that CI runs: all that have ever failed, with the cause. A
@@ -26,28 +28,43 @@
 // TestSoak does a short run with real processes for each seed and expects no
 // violations.
 func TestSoak(t *testing.T) {
-	daemon := filepath.Join(t.TempDir(), "oatlatchd")
-	build := exec.Command("go", "build", "-o", daemon, "../../cmd/oatlatchd")
-	if out, err := build.CombinedOutput(); err != nil {
-		t.Fatalf("build: %v\n%s", err, out)
-	}
+	daemon := buildDaemon(t)
 	for _, c := range seeds {
 		t.Run(fmt.Sprint(c.seed), func(t *testing.T) {
 			t.Parallel()
-			runSeed(t, daemon, c.seed)
+			runSeed(t, daemon, "", c.seed)
 		})
 	}
 }
 
-// runSeed does one run and reports its violations as test errors.
-func runSeed(t *testing.T, daemon string, seed uint64) {
+// TestUpgradeAndGoBack runs the build in production and this one side by side: hosts are upgraded
+// one after the other and go back, with flows open and the faults of TestSoak meanwhile.
+func TestUpgradeAndGoBack(t *testing.T) {
+	earlier := releasetest.Production(t)
+	runSeed(t, buildDaemon(t), earlier, 2101)
+}
+
+// buildDaemon builds the daemon and returns its path.
+func buildDaemon(t *testing.T) string {
+	t.Helper()
+	daemon := filepath.Join(t.TempDir(), "oatlatchd")
+	build := exec.Command("go", "build", "-o", daemon, "../../cmd/oatlatchd")
+	if out, err := build.CombinedOutput(); err != nil {
+		t.Fatalf("build: %v\n%s", err, out)
+	}
+	return daemon
+}
+
+// runSeed does one run and reports its violations as test errors. If earlier is set, it is the
+// daemon that hosts are upgraded from.
+func runSeed(t *testing.T, daemon, earlier string, seed uint64) {
 	log, err := os.Create(filepath.Join(t.TempDir(), "hosts.log"))
 	if err != nil {
 		t.Fatal(err)
 	}
 	defer log.Close()
 	report, err := Run(context.Background(), Options{
-		Daemon: daemon, Seed: seed, Duration: 14 * time.Second, Hosts: 2, Callers: 16, Log: log,
+		Daemon: daemon, Earlier: earlier, Seed: seed, Duration: 14 * time.Second, Hosts: 2, Callers: 16, Log: log,
 	})
 	if err != nil {
 		t.Fatal(err)
