echo: refuse new flows by deadline only if they must miss it

Cause: the refusal multiplied the average response time by the requests in front of a new flow. After a power loss the average contains the time in the queues of all hosts, so flows were refused that could be served.

Change: shortestTime estimates the time of responses that did not queue; a flow is refused if the requests in front of it pass its deadline even at that time. TestQueuesOfOtherHostsDoNotRefuseByDeadline fails before.

--- a/internal/flow/echo/admit.go
+++ b/internal/flow/echo/admit.go
@@ -20,7 +20,7 @@
 	enqueue
 	// refuse resets the flow in favour of routes with a higher priority.
 	refuse
-	// refuseLate resets the flow because its request would miss its deadline.
+	// refuseLate resets the flow because its request must miss its deadline.
 	refuseLate
 )
 
@@ -41,7 +41,7 @@
 		return refuse
 	case float64(u.outstanding) < ownRequestsPerSlot*u.effectiveSlots(now):
 		return admit
-	case !e.options.Without.Has(DeadlineRefusal) && p.wouldTakeLonger(now, u, r.requestTimeout()-timeSinceFirstSYN(s.Ack)):
+	case !e.options.Without.Has(DeadlineRefusal) && p.mustTakeLonger(now, u, r.requestTimeout()-timeSinceFirstSYN(s.Ack)):
 		return refuseLate
 	case e.options.Without.Has(AdmissionQueue):
 		return admit
--- a/internal/flow/echo/admit_test.go
+++ b/internal/flow/echo/admit_test.go
@@ -125,6 +125,21 @@
 	h.expectDecision(late.sendSYN(), Reset, Overloaded)
 }
 
+// TestQueuesOfOtherHostsDoNotRefuseByDeadline covers the return of many clients at once: requests
+// that queued behind those of other hosts took long, but a new one may still be served in time.
+func TestQueuesOfOtherHostsDoNotRefuseByDeadline(t *testing.T) {
+	h, running := newFullHarness(t)
+	h.routes[0].Timeout = 500 * time.Millisecond
+	h.version++
+	h.applyView()
+	for _, f := range running {
+		f.ackResponse()
+	}
+	h.completeRequests(watchAddress, 60, 400*time.Millisecond)
+	h.addOutstanding(3)
+	h.expectDecision(h.newFlow(watchAddress).sendSYN(), Hold, Queued)
+}
+
 // TestBacklogIsServedAndLastingOverloadIsRefused sends new flows to a full upstream: for
 // a second they wait and are served late, then they are refused, those that wait as well.
 func TestBacklogIsServedAndLastingOverloadIsRefused(t *testing.T) {
--- a/internal/flow/echo/pool.go
+++ b/internal/flow/echo/pool.go
@@ -41,6 +41,8 @@
 	// waiting behind requests of other hosts. It is zero until the first response,
 	// so that no flow is refused without a measurement.
 	processingTime time.Duration
+	// shortestTime estimates the response time of such requests that did not queue at all.
+	shortestTime shortestTime
 	// baselineProcessingTime is the same average over a longer time. baselineSamples is
 	// the number of responses in it.
 	baselineProcessingTime time.Duration
@@ -67,6 +69,7 @@
 	if p.processingTime == 0 {
 		p.processingTime = responseTime
 	}
+	p.shortestTime.observe(responseTime)
 	p.processingTime += time.Duration(processingTimeWeight * float64(responseTime-p.processingTime))
 	p.baselineSamples++
 	p.baselineProcessingTime += time.Duration(max(baselineWeight, 1/float64(p.baselineSamples)) * float64(responseTime-p.baselineProcessingTime))
@@ -108,12 +111,15 @@
 }
 
 // wouldTakeLonger reports whether a new request would have to queue for a slot behind
-// this host's own requests and so take longer than the limit.
+// this host's own requests and so usually take longer than the limit.
 func (p *pool) wouldTakeLonger(now time.Time, u *upstream, limit time.Duration) bool {
-	slots := u.effectiveSlots(now)
-	queued := float64(u.outstanding+1) - slots
-	if queued <= 0 {
-		return false
-	}
-	return time.Duration(float64(p.processingTime)*(1+queued/slots)) > limit
+	queued, slots := u.queued(now)
+	return queued > 0 && time.Duration(float64(p.processingTime)*(1+queued/slots)) > limit
+}
+
+// mustTakeLonger reports whether a new request would have to queue behind this host's own
+// requests and take longer than the limit even if each takes the shortest time.
+func (p *pool) mustTakeLonger(now time.Time, u *upstream, limit time.Duration) bool {
+	queued, slots := u.queued(now)
+	return queued > 0 && p.shortestTime.behind(queued, slots) > limit
 }
--- a/internal/flow/echo/upstream.go
+++ b/internal/flow/echo/upstream.go
@@ -75,3 +75,10 @@
 	}
 	return float64(u.Slots)
 }
+
+// queued returns how many of this host's requests, with a new one, exceed the slots at the
+// time, and the slots.
+func (u *upstream) queued(now time.Time) (requests, slots float64) {
+	slots = u.effectiveSlots(now)
+	return max(0, float64(u.outstanding+1)-slots), slots
+}
