echo, edge: log which process of an upstream holds a flow without an answer

Change: a flow's record keeps the number of the process that holds it. That process is the one that this host knew when it sent the SYN, or the current one once it has answered a request that was sent after the host saw it. A host that saw neither the SYN nor an answer does not know, unless it has known the process for longer than flows stay idle. request_unanswered has holder=current|former|unknown, and upstream_suspected and upstream_ejected have process_age_ms. No decision changes. A flow record does not grow: a flag moves beside the others.

--- a/internal/edge/host.go
+++ b/internal/edge/host.go
@@ -245,6 +245,9 @@
 	if event.Kind != echo.DataCentreSilent {
 		line = line.Str("upstream", event.Upstream)
 	}
+	if event.Kind == echo.Suspected || event.Kind == echo.Ejected {
+		line = line.Dur("process_age_ms", event.ProcessAge)
+	}
 	switch event.Kind {
 	case echo.DataCentreSilent:
 		line = line.Int("flows", event.UnansweredFlows)
@@ -254,6 +257,9 @@
 		line = line.Stringer("reason", event.Reason).Float64("answers", event.Answers).Float64("failed", event.FailedAnswers).Int("hosts", event.Hosts)
 	case echo.Unopened, echo.Unanswered:
 		line = line.Str("flow", event.Caller.String()+">"+event.Address.String())
+		if event.Kind == echo.Unanswered {
+			line = line.Stringer("holder", event.Holder)
+		}
 	}
 	line.Msg(event.Kind.String())
 }
--- a/internal/flow/echo/ejection.go
+++ b/internal/flow/echo/ejection.go
@@ -296,6 +296,6 @@
 	u.ejection.answers, u.ejection.failed, u.ejection.hosts = answers, failed, hosts
 	e.report(Event{
 		Kind: Ejected, Upstream: u.Name, DataCentre: u.DataCentre, Reason: FailedAnswers, Age: u.ejection.length,
-		Answers: float64(answers), FailedAnswers: float64(failed), Hosts: hosts,
+		Answers: float64(answers), FailedAnswers: float64(failed), Hosts: hosts, ProcessAge: now.Sub(u.seen.since),
 	})
 }
--- a/internal/flow/echo/established.go
+++ b/internal/flow/echo/established.go
@@ -96,6 +96,7 @@
 				e.observeSpill(now, rec.upstream, responseTime)
 			}
 		}
+		rec.noteHolder()
 		rec.endRequest()
 		e.recordAnswer(now, rec.upstream)
 	}
--- a/internal/flow/echo/event.go
+++ b/internal/flow/echo/event.go
@@ -79,8 +79,13 @@
 	// time for which the ejected one will be, the time for which the evacuation was in
 	// force here, or the time since the first SYN or the request.
 	Age time.Duration
-	// Caller and Address identify the flow of an Unopened or Unanswered event.
+	// ProcessAge is the time since this host first saw the current process of a suspected or
+	// ejected upstream.
+	ProcessAge time.Duration
+	// Caller and Address identify the flow of an Unopened or Unanswered event. Holder tells, for
+	// Unanswered events, which process of the upstream holds the flow.
 	Caller, Address netip.AddrPort
+	Holder          Holder
 	// Evacuation is set for EvacuationInForce and EvacuationEnded events.
 	Evacuation EvacuationStatus
 	// Records is set for RecordsFull events.
@@ -96,7 +101,7 @@
 	}
 	e.report(Event{
 		Kind: kind, Upstream: rec.upstream.Name, DataCentre: rec.upstream.DataCentre, Age: timeSince(now, since),
-		Caller: key.caller, Address: key.address,
+		Caller: key.caller, Address: key.address, Holder: e.holderOf(rec),
 	})
 }
 
--- a/internal/flow/echo/flow_record.go
+++ b/internal/flow/echo/flow_record.go
@@ -39,11 +39,17 @@
 	overdue, late bool
 	// trial is set if the flow was sent to a mute upstream to find out if it answers.
 	trial bool
+	// foundFreeSlot is set if this host's other outstanding requests left a slot of the
+	// upstream free when awaitingResponse was set.
+	foundFreeSlot bool
 	// links are those in the list of the route's outstanding requests.
 	links requestLinks
 	// countedSeries is one more than the upstream's strikeSeries at the time when the flow
 	// was last counted in unansweredFlows, or zero if it never was.
 	countedSeries uint32
+	// process is the number of the upstream's process that holds the flow, as far as this host
+	// knows; zero if it does not.
+	process uint32
 	// synSeq is the sequence number of the SYN.
 	synSeq uint32
 	// nextSeq is the sequence number after the last byte that the caller has sent.
@@ -55,9 +61,6 @@
 	// requestedAt is when the latest SYN or request arrived; retransmissions do not
 	// change it.
 	requestedAt time.Time
-	// foundFreeSlot is set if this host's other outstanding requests left a slot of the
-	// upstream free when awaitingResponse was set.
-	foundFreeSlot bool
 	// requestTimeout is the route's request timeout, or zero if it has none.
 	requestTimeout time.Duration
 	// lastSeen is when the last packet arrived.
@@ -123,7 +126,10 @@
 		r.endRequest()
 		r.setState(stateClosed)
 	}
-	r.upstream = u
+	r.upstream, r.process = u, 0
+	if !r.created.Before(u.seen.since) {
+		r.process = u.seen.number
+	}
 	r.setState(state)
 	if awaiting {
 		r.awaitingResponse = true
--- a/internal/flow/echo/mute.go
+++ b/internal/flow/echo/mute.go
@@ -157,7 +157,7 @@
 	u.muteness.since, u.muteness.silentSince = now, l.sent
 	e.planTrial(now, u)
 	e.muteCount++
-	e.report(Event{Kind: Suspected, Upstream: u.Name, DataCentre: u.DataCentre, Reason: NoResponses, UnansweredFlows: l.count, Hosts: l.hosts, Age: timeSince(now, u.answeredAt)})
+	e.report(Event{Kind: Suspected, Upstream: u.Name, DataCentre: u.DataCentre, Reason: NoResponses, UnansweredFlows: l.count, Hosts: l.hosts, Age: timeSince(now, u.answeredAt), ProcessAge: now.Sub(u.seen.since)})
 }
 
 // mayBeMute reports whether few enough upstreams of the pool are mute for another one to be.
--- a/internal/flow/echo/suspicion.go
+++ b/internal/flow/echo/suspicion.go
@@ -150,7 +150,7 @@
 		e.startHoldDown(now, u)
 	}
 	e.suspectedCount++
-	e.report(Event{Kind: Suspected, Upstream: u.Name, DataCentre: u.DataCentre, Reason: reason, UnansweredFlows: u.unansweredFlows, Hosts: u.reported.SilentHosts, Age: timeSince(now, u.lastAnswer)})
+	e.report(Event{Kind: Suspected, Upstream: u.Name, DataCentre: u.DataCentre, Reason: reason, UnansweredFlows: u.unansweredFlows, Hosts: u.reported.SilentHosts, Age: timeSince(now, u.lastAnswer), ProcessAge: now.Sub(u.seen.since)})
 }
 
 // startHoldDown starts the hold-down of a suspicion by this host's own evidence, and makes
--- a/internal/flow/echo/syn.go
+++ b/internal/flow/echo/syn.go
@@ -47,7 +47,7 @@
 		}
 		return e.withDetail(now, d, r, u, nil)
 	}
-	rec := &flowRecord{upstream: u, trial: u.mute(), sawSYN: true, synSeq: s.Seq, nextSeq: s.Seq + 1, created: now, lastSeen: now, requestTimeout: r.Timeout}
+	rec := &flowRecord{upstream: u, process: u.seen.number, trial: u.mute(), sawSYN: true, synSeq: s.Seq, nextSeq: s.Seq + 1, created: now, lastSeen: now, requestTimeout: r.Timeout}
 	e.storeRecord(key, rec)
 	d := e.withDetail(now, forwardTo(u, Opened), r, u, nil)
 	rec.startRequest(now)
--- a/internal/flow/echo/warmup.go
+++ b/internal/flow/echo/warmup.go
@@ -28,20 +28,6 @@
 	Overage, Slack float64
 }
 
-// processSeen is when the engine first saw the upstream's current process.
-type processSeen struct {
-	process warmup.Process
-	since   time.Time
-}
-
-// noteProcess records when the engine first sees the process in the entry.
-func (u *upstream) noteProcess(now time.Time, entry *catalog.Entry) {
-	p := warmup.NewProcess(entry.Name, entry.Started)
-	if u.seen.process != p {
-		u.seen = processSeen{process: p, since: now}
-	}
-}
-
 // coldUntil returns when the upstream no longer warms up: as its registration says, but
 // not later than the configured time after this host first saw the process.
 func (e *Engine) coldUntil(u *upstream, w catalog.Warmup) time.Time {
