echo: requests on flows of a former process are no evidence against the new one

Cause: callers of the former process's flows send their next requests over the next 8 to 14 s. The new process answers these with RSTs, which go past the hosts, so each request stayed outstanding on a host and became late, and then overdue. Three late ones make an upstream mute. It gets no new flows then, so nothing ever answers, the count goes on (up to 8), and its idle flows are reset. Requests outstanding when the process started counted as well.

Ruled out: flows of the new process that are late, and flows that other hosts had opened (no host was restarted).

Change: a request counts as late or overdue only if the current process holds its flow: this host sent the SYN to it, or it has answered on the flow, or the host has known the process for longer than flows may be idle. That covers flows that came from another host, too. A mute new process is found by its own flows as before.

The tests failed before: TestFormerProcessIsNoEvidence (the upstream is mute, for flows that this host and that another host opened) and TestRequestsBeforeARestartAreNoEvidence.

--- a/internal/flow/echo/mute.go
+++ b/internal/flow/echo/mute.go
@@ -111,10 +111,10 @@
 
 // countLate counts the flow's request, which is late, unless its upstream has answered another
 // one since, or no upstream has: then this host's own link is the more likely cause. One that is
-// suspected does not even take packets.
+// suspected does not even take packets. A flow that a former process may hold shows nothing.
 func (e *Engine) countLate(now time.Time, rec *flowRecord) {
 	u := rec.upstream
-	if u.suspected() || u.answeredAt.After(rec.requestedAt) || !e.lastResponse.After(rec.requestedAt) || now.Before(e.ignoreRetransmissionsUntil) {
+	if e.holderOf(rec) != CurrentProcess || u.suspected() || u.answeredAt.After(rec.requestedAt) || !e.lastResponse.After(rec.requestedAt) || now.Before(e.ignoreRetransmissionsUntil) {
 		return
 	}
 	rec.late = true
--- a/internal/flow/echo/overdue.go
+++ b/internal/flow/echo/overdue.go
@@ -30,14 +30,18 @@
 }
 
 // countOverdue counts the outstanding request of the flow as a failed answer once it is
-// overdue, unless the upstream is suspected of not answering at all.
+// overdue, unless the upstream is suspected of not answering at all or a former process may hold
+// the flow.
 func (e *Engine) countOverdue(now time.Time, r *route, rec *flowRecord) {
 	if r == nil || rec.overdue || e.options.Without.Has(OverdueRequests) || rec.upstream.suspected() || now.Before(e.ignoreRetransmissionsUntil) {
 		return
 	}
 	if r.isOverdue(now, rec) {
-		rec.overdue = true
 		rec.unlist()
+		if e.holderOf(rec) != CurrentProcess {
+			return
+		}
+		rec.overdue = true
 		u := rec.upstream
 		if u.answeredAt.Before(rec.requestedAt) {
 			// Its earlier answers say nothing about an upstream that has become mute.
--- a/internal/flow/echo/process_test.go
+++ b/internal/flow/echo/process_test.go
@@ -71,3 +71,82 @@
 		})
 	}
 }
+
+// TestFormerProcessIsNoEvidence guards against resets of idle flows of an upstream that has
+// started again under its ID: the requests on flows of its former process have no answer.
+func TestFormerProcessIsNoEvidence(t *testing.T) {
+	tests := map[string]func(h *harness){
+		"flows that this host opened": func(h *harness) { h.restartUpstream(1) },
+		"flows that another host opened": func(h *harness) {
+			h.restart()
+			h.learnUsualAnswers()
+		},
+	}
+	for name, change := range tests {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			h := newHarness(t, tenUpstreams()...)
+			flows := h.openOnEach(10, 6)
+			h.learnUsualAnswers()
+			change(h)
+			idle, other := h.openAt(1), h.openAt(2)
+			h.leaveLate(other, flows[1]...)
+			g.Expect(h.muteNames()).To(BeEmpty())
+			h.passPackets(other, minOverdue)
+			g.Expect(h.engine.upstreams[1].counts.failed).To(BeZero())
+			h.passPackets(other, minSilenceBeforeReset)
+			g.Expect(h.takeResets()).NotTo(HaveKey(idle.caller.String()))
+		})
+	}
+}
+
+// TestRequestsBeforeARestartAreNoEvidence guards against an upstream that is taken for mute as
+// soon as it has started again, because of requests that were sent to its former process.
+func TestRequestsBeforeARestartAreNoEvidence(t *testing.T) {
+	g := NewWithT(t)
+	h := newHarness(t, tenUpstreams()...)
+	flows := h.openOnEach(10, 6)
+	h.learnUsualAnswers()
+	for _, f := range flows[1] {
+		f.sendRequest()
+	}
+	h.advance(time.Millisecond)
+	h.restartUpstream(1)
+	h.leaveLate(flows[2][0])
+	h.passPackets(flows[2][0], minOverdue)
+	g.Expect(h.muteNames()).To(BeEmpty())
+	g.Expect(h.engine.upstreams[1].counts.failed).To(BeZero())
+}
+
+// TestNewProcessCanBeMute checks that an upstream which has started again is judged by the flows
+// of its new process.
+func TestNewProcessCanBeMute(t *testing.T) {
+	g := NewWithT(t)
+	h := newHarness(t, tenUpstreams()...)
+	other := h.openOnEach(10, 1)[2][0]
+	h.learnUsualAnswers()
+	h.restartUpstream(1)
+	var flows []*testFlow
+	for range minLateRequests {
+		flows = append(flows, h.openAt(1))
+	}
+	h.leaveLate(other, flows...)
+	g.Expect(h.muteNames()).To(ConsistOf("i-00000001"))
+}
+
+// openAt opens a flow at the upstream with the number, which answers a request on it.
+func (h *harness) openAt(number int) *testFlow {
+	for range 1000 {
+		f := h.newFlow(watchAddress)
+		d := f.open()
+		f.sendRequest()
+		h.advance(usualTime)
+		f.ackResponse()
+		if d.Upstream == catalog.UpstreamID(number) {
+			return f
+		}
+		f.sendFIN()
+	}
+	h.t.Fatalf("no flow goes to upstream %d", number)
+	return nil
+}
