echo, evidence: strikes and reports on a former process do not count

- A packet that was sent before the restart and repeated after it was a strike, and a single strike from before it was kept: two flows that met the restart made the new process suspected.
- The last reports of the other hosts were kept, so they could make it mute or suspected again at once.
- A host that has not seen the restart yet goes on reporting what it counts against the former process.

Change: all that is known of a process is forgotten in one place (forgetProcess). A strike needs a packet that was sent after the host saw the process. Reports carry the start of the process that they are about; sums leave out those about a former process, and hosts ignore those about another one than they know. Hosts of earlier builds ignore the field, which gob drops; their reports count as before.

The tests failed before: TestPacketsBeforeARestartAreNoStrikes (3 cases), TestReportsOnAFormerProcessAreNoEvidence; TestEntriesOnAFormerProcessDoNotCount is of the new field.

--- a/internal/evidence/entry.go
+++ b/internal/evidence/entry.go
@@ -17,6 +17,9 @@
 // time of the report that holds the entry.
 type Entry struct {
 	Upstream catalog.UpstreamID
+	// Started is when the upstream's process started that the entry is about, in Unix
+	// milliseconds; zero if unknown, as in reports of earlier builds.
+	Started int64
 	// Answers and Failed are the numbers of answers, and of those that looked failed or
 	// were overdue. Older ones count less.
 	Answers, Failed float32
@@ -40,11 +43,18 @@
 }
 
 // combine returns the entry for the hosts of all entries together, which are of one
-// upstream. Strikes and late requests of a side are void if any other one has had an answer
-// since, so the last answer of all is found before they are counted: the order does not matter.
+// upstream. Entries about a former process of the upstream do not count. Strikes and late
+// requests of a side are void if any other one has had an answer since, so the last answer of
+// all is found before they are counted: the order does not matter.
 func combine(entries []Entry) Entry {
 	sum := Entry{Upstream: entries[0].Upstream, AnswerAge: NoAnswer}
 	for _, e := range entries {
+		sum.Started = max(sum.Started, e.Started)
+	}
+	for _, e := range entries {
+		if !e.About(sum.Started) {
+			continue
+		}
 		sum.Answers += e.Answers
 		sum.Failed += e.Failed
 		sum.FailingHosts += e.FailingHosts
@@ -54,6 +64,9 @@
 		}
 	}
 	for _, e := range entries {
+		if !e.About(sum.Started) {
+			continue
+		}
 		if e.Strikes > 0 && e.StrikeAge < sum.AnswerAge {
 			sum.Strikes += e.Strikes
 			sum.SilentHosts += e.SilentHosts
@@ -71,6 +84,12 @@
 	return sum
 }
 
+// About reports whether the entry may be about the upstream's process that started at the time,
+// in Unix milliseconds; zero if that is unknown.
+func (e *Entry) About(started int64) bool {
+	return e.Started == started || e.Started == 0 || started == 0
+}
+
 // questions reports whether the entry gives a reason to ask other hosts about the upstream.
 func (e *Entry) questions() bool { return e.Strikes > 0 || e.Late > 0 || e.Failed >= minFailed }
 
--- a/internal/evidence/evidence_test.go
+++ b/internal/evidence/evidence_test.go
@@ -222,3 +222,22 @@
 		}
 	})
 }
+
+// TestEntriesOnAFormerProcessDoNotCount guards against the evidence of a host that has not seen
+// yet that an upstream has started again.
+func TestEntriesOnAFormerProcessDoNotCount(t *testing.T) {
+	g := NewWithT(t)
+	former := Entry{
+		Upstream: 1, Started: 1000, Answers: 5, Failed: 5, FailingHosts: 1, Strikes: 2, SilentHosts: 1, AnswerAge: NoAnswer,
+		Late: 3, LateHosts: 1, LateAge: time.Second, LastLateAge: time.Second,
+	}
+	current := Entry{Upstream: 1, Started: 2000, Answers: 1, AnswerAge: NoAnswer}
+	g.Expect(combine([]Entry{former, current})).To(Equal(current))
+	g.Expect(combine([]Entry{current, former})).To(Equal(current))
+
+	unknown := former
+	unknown.Started = 0
+	sum := combine([]Entry{unknown, current})
+	g.Expect(sum.Strikes).To(Equal(2), "hosts of earlier builds do not tell the process")
+	g.Expect(sum.Started).To(BeEquivalentTo(2000))
+}
--- a/internal/evidence/report.go
+++ b/internal/evidence/report.go
@@ -71,7 +71,7 @@
 // sane reports whether the numbers of an entry are ones that a host can have counted.
 func (e *Entry) sane() bool {
 	finite := func(v float32) bool { return v >= 0 && v < math.MaxInt32 }
-	return finite(e.Answers) && finite(e.Failed) && e.Failed <= e.Answers+1 && e.FailingHosts >= 0 && e.Strikes >= 0 && e.SilentHosts >= 0 &&
+	return e.Started >= 0 && finite(e.Answers) && finite(e.Failed) && e.Failed <= e.Answers+1 && e.FailingHosts >= 0 && e.Strikes >= 0 && e.SilentHosts >= 0 &&
 		e.SilentHosts <= e.Strikes && e.StrikeAge >= 0 && e.AnswerAge >= 0 && e.AnswerAge <= NoAnswer &&
 		e.Late >= 0 && e.LateHosts >= 0 && e.LateHosts <= e.Late && e.LateAge >= 0 && e.LastLateAge >= 0 && e.LastLateAge <= e.LateAge && e.ResponseAge >= 0 && e.ResponseAge <= NoAnswer
 }
--- a/internal/flow/echo/ejection.go
+++ b/internal/flow/echo/ejection.go
@@ -105,7 +105,7 @@
 		if !asked && u.counts.failed < minReportedFailed {
 			continue
 		}
-		entry := evidence.Entry{Upstream: id, Answers: u.counts.answers, Failed: u.counts.failed, AnswerAge: evidence.NoAnswer}
+		entry := evidence.Entry{Upstream: id, Started: u.startedMillis(), Answers: u.counts.answers, Failed: u.counts.failed, AnswerAge: evidence.NoAnswer}
 		if u.counts.failed >= minReportedFailed {
 			entry.FailingHosts = 1
 		}
@@ -146,7 +146,7 @@
 	for i := range entries {
 		entry := &entries[i]
 		u := e.upstreams[entry.Upstream]
-		if u == nil {
+		if u == nil || !entry.About(u.startedMillis()) {
 			continue
 		}
 		u.reported, u.reportedAt = *entry, now
--- a/internal/flow/echo/process.go
+++ b/internal/flow/echo/process.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/oatlatch/oatlatch/internal/catalog"
+	"github.com/oatlatch/oatlatch/internal/evidence"
 	"github.com/oatlatch/oatlatch/internal/warmup"
 )
 
@@ -23,6 +24,27 @@
 	}
 }
 
+// startedMillis returns when the upstream's process started, in Unix milliseconds; zero if that
+// is unknown.
+func (u *upstream) startedMillis() int64 {
+	if u.Started.IsZero() {
+		return 0
+	}
+	return u.Started.UnixMilli()
+}
+
+// forgetProcess forgets what is known of the upstream's process, which has been replaced.
+func (e *Engine) forgetProcess(now time.Time, u *upstream) {
+	e.clearSuspicion(now, u, Restarted)
+	e.clearMute(now, u, Restarted)
+	u.unansweredFlows = 0
+	u.strikeSeries++
+	u.holdDown = 0
+	u.ejection, u.counts = ejection{}, answerCounts{}
+	u.reported, u.reportedAt = evidence.Entry{}, time.Time{}
+	u.recent = recentRequests{ineligible: true}
+}
+
 // Holder tells which process of its upstream holds a flow. A process answers packets of flows
 // that it does not hold with RSTs to the caller, which hosts do not see: requests on flows of a
 // former process have no answer, however well the current one works.
--- a/internal/flow/echo/process_test.go
+++ b/internal/flow/echo/process_test.go
@@ -7,6 +7,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/oatlatch/oatlatch/internal/catalog"
+	"github.com/oatlatch/oatlatch/internal/evidence"
 )
 
 // restartUpstream lets another process use the ID of the upstream with the number.
@@ -150,3 +151,68 @@
 	h.t.Fatalf("no flow goes to upstream %d", number)
 	return nil
 }
+
+// TestPacketsBeforeARestartAreNoStrikes guards against an upstream that is suspected after it has
+// started again, because of packets that its former process did not answer.
+func TestPacketsBeforeARestartAreNoStrikes(t *testing.T) {
+	tests := map[string]func(h *harness, flows []*testFlow){
+		"they are sent again after the restart": func(h *harness, flows []*testFlow) {
+			for _, f := range flows {
+				f.sendRequest()
+			}
+			h.advance(200 * time.Millisecond)
+			h.restartUpstream(1)
+			h.completeOtherServiceRequest()
+			for _, f := range flows {
+				f.retransmit()
+			}
+		},
+		"one was sent again before, one is after": func(h *harness, flows []*testFlow) {
+			h.leaveUnanswered(flows[0])
+			h.restartUpstream(1)
+			h.leaveUnanswered(flows[1])
+		},
+		"other hosts reported them": func(h *harness, _ []*testFlow) {
+			h.restartUpstream(1)
+			h.engine.SetEvidence(h.now, []evidence.Entry{{Upstream: 1, Started: startTime.UnixMilli(), Strikes: 2, SilentHosts: 2, AnswerAge: evidence.NoAnswer}})
+		},
+	}
+	for name, leaveUnanswered := range tests {
+		t.Run(name, func(t *testing.T) {
+			h := newHarness(t, newEntry(1, localDC), newEntry(2, localDC))
+			h.restartUpstream(1)
+			flows := h.openOnEach(2, 2)[1]
+			h.completeOtherServiceRequest()
+			h.advance(300 * time.Millisecond)
+			h.engine.lastPacket = h.now // otherwise the gap counts as a pause of the host
+			leaveUnanswered(h, flows)
+			NewWithT(t).Expect(h.suspectedNames()).To(BeEmpty())
+		})
+	}
+}
+
+// TestReportsOnAFormerProcessAreNoEvidence guards against the evidence of a host that has not
+// seen yet that the upstream has started again.
+func TestReportsOnAFormerProcessAreNoEvidence(t *testing.T) {
+	g := NewWithT(t)
+	h := newHarness(t, tenUpstreams()...)
+	h.restartUpstream(1)
+	former := evidence.Entry{
+		Upstream: 1, Started: h.now.UnixMilli(), Answers: 10, Failed: 10, FailingHosts: 2, AnswerAge: evidence.NoAnswer,
+		Late: minLateRequests, LateHosts: minLateHosts, LateAge: time.Second, LastLateAge: time.Second,
+	}
+	h.openOnEach(10, 1)
+	h.advance(2 * time.Second)
+	h.engine.SetEvidence(h.now, []evidence.Entry{former})
+	g.Expect(h.muteNames()).To(ConsistOf("i-00000001"))
+	h.restartUpstream(1)
+	u := h.engine.upstreams[1]
+	h.engine.judgeMute(h.now, u)
+	g.Expect(h.muteNames()).To(BeEmpty(), "reports that came before")
+	h.engine.SetEvidence(h.now, []evidence.Entry{former})
+	g.Expect(h.muteNames()).To(BeEmpty(), "reports that come after")
+	_, failed, _ := u.combined(h.now)
+	g.Expect(failed).To(BeZero())
+	entries := h.engine.Evidence(h.now, map[catalog.UpstreamID]struct{}{1: {}})
+	g.Expect(entries[0].Started).To(Equal(h.now.UnixMilli()))
+}
--- a/internal/flow/echo/suspicion.go
+++ b/internal/flow/echo/suspicion.go
@@ -77,14 +77,15 @@
 // retransmission of a packet first sent at the given time, and suspects the upstream
 // at suspectThreshold. The flow counts only if its upstream has answered no flow since
 // that time and another upstream has. If none has, this host's own link is the more
-// likely cause.
+// likely cause. A packet that was sent before this host saw the upstream's process may have
+// been lost with the former one.
 func (e *Engine) recordRetransmission(now time.Time, rec *flowRecord, sent time.Time) {
 	u := rec.upstream
 	if e.options.Without.Has(Suspicion) || now.Sub(sent) < minRetransmitDelay || now.Before(e.ignoreRetransmissionsUntil) || u.lastAnswer.After(sent) {
 		return
 	}
 	e.recordSilence(now, u, sent)
-	if !e.lastAnswer.After(sent) {
+	if !e.lastAnswer.After(sent) || sent.Before(u.seen.since) {
 		return
 	}
 	if rec.countedSeries == u.strikeSeries+1 {
--- a/internal/flow/echo/view.go
+++ b/internal/flow/echo/view.go
@@ -73,12 +73,7 @@
 			u = &upstream{token: tokenOf(entry.ID), recent: recentRequests{ineligible: true}}
 		}
 		if u.Presence != 0 && !u.Started.Equal(entry.Started) {
-			// A new process uses the same ID. Suspicion and hold-down applied to the old one.
-			e.clearSuspicion(now, u, Restarted)
-			e.clearMute(now, u, Restarted)
-			u.holdDown = 0
-			u.ejection, u.counts = ejection{}, answerCounts{}
-			u.recent = recentRequests{ineligible: true}
+			e.forgetProcess(now, u)
 		}
 		u.noteProcess(now, &entry)
 		u.Entry = entry
