forward, echo: drop SYNs that a caller has repeated while the host stood still

Cause: the host wakes with SYNs of several seconds ago in its socket and forwards them to upstreams of its choice, while routers have passed the copies to another host and the flow is open. A second upstream answers the SYN, so the caller repeats its token, and a host without a record of the flow sends the next request there.

Weighed: a SYN that waited longer than the attempt lasts (1.4 s) is dropped: misses standstills of 1 to 1.6 s. Any SYN that waited until the next copy is dropped: a slow host whose queue takes 0.3 s would answer each SYN one copy later. By the steady clock of the receive loop alone: it cannot tell an idle socket from a process that does not run, and does not count the time of a suspended machine.

Change: the system's time of receipt (SO_TIMESTAMPNS) tells how long a packet waited, and the time since the read before tells whether the host was slow or stood still. A SYN that waited through a standstill of 0.4 s or more until its caller sent the next copy, or gave up, is dropped ("superseded"). Where the system has no times of receipt, nothing changes and receipt_times_not_available is logged.

--- a/internal/flow/echo/reason.go
+++ b/internal/flow/echo/reason.go
@@ -32,6 +32,9 @@
 	Region
 	// AlreadyOpen means that the packet is a late copy of the SYN of an open flow.
 	AlreadyOpen
+	// Superseded means that the SYN waited at this host, which stood still, until its caller sent
+	// another copy or gave up.
+	Superseded
 	// WarmingUp means that every upstream that accepts new flows of the route is cold, and
 	// this host may not send it an opening packet now.
 	WarmingUp
@@ -107,6 +110,7 @@
 	Evacuated:              "evacuated",
 	Region:                 "region",
 	AlreadyOpen:            "already-open",
+	Superseded:             "superseded",
 	WarmingUp:              "warming-up",
 	Overloaded:             "overloaded",
 	Queued:                 "queued",
--- a/internal/flow/echo/segment.go
+++ b/internal/flow/echo/segment.go
@@ -1,6 +1,9 @@
 package echo
 
-import "net/netip"
+import (
+	"net/netip"
+	"time"
+)
 
 // Token identifies a flow's upstream. Each end of a flow echoes the last token that
 // it received, so every packet of a caller after the SYN carries the token.
@@ -19,4 +22,7 @@
 	// Length is the length of the data in bytes.
 	Length             int
 	SYN, ACK, FIN, RST bool
+	// Delayed is how long the packet waited in the host's socket because the process stood
+	// still; zero if it did not, or if that is unknown.
+	Delayed time.Duration
 }
--- a/internal/flow/echo/syn.go
+++ b/internal/flow/echo/syn.go
@@ -7,6 +7,9 @@
 func (e *Engine) decideSYN(now time.Time, r *route, s *Segment) Decision {
 	key := flowKey{caller: s.Caller, address: s.VirtualAddress}
 	rec := e.records[key]
+	if s.superseded() {
+		return e.withDetail(now, Decision{Verdict: Drop, Reason: Superseded}, r, nil, rec)
+	}
 	if rec != nil && rec.hasSYN(s) {
 		d := e.decideRetransmittedSYN(now, r, rec, s)
 		d.Detail.PriorSYNs = s.Ack
--- a/internal/flow/echo/syn_copy.go
+++ b/internal/flow/echo/syn_copy.go
@@ -11,8 +11,18 @@
 	// which they are taken for the same flow. A caller sends less within the time in which
 	// copies arrive.
 	maxSYNDistance = 1 << 20
+	// firstCopyAfter is the time after which a caller sends the first copy of a SYN. The time
+	// doubles before each of the lastCopy steps that follow: to the second copy, and to the end
+	// of the attempt.
+	firstCopyAfter = 200 * time.Millisecond
+	lastCopy       = 2
 )
 
+// superseded reports whether the caller has sent another copy of the SYN, or has given up, while
+// the SYN waited at this host, which stood still. The flow may be open through another host by
+// now. If a second upstream answered, the caller would echo its token from then on.
+func (s *Segment) superseded() bool { return s.Delayed >= firstCopyAfter<<min(s.Ack, lastCopy) }
+
 // hasSYN reports whether the SYN is a copy of the one that opened the flow, which is not
 // closed. If this host has not seen that SYN, a SYN that the caller marks as a copy is
 // recognised by the flow's sequence numbers. Another one may be that of a new flow from the
--- a/internal/flow/echo/syn_copy_test.go
+++ b/internal/flow/echo/syn_copy_test.go
@@ -137,3 +137,22 @@
 	h.evacuate()
 	h.expectDecision(h.newFlow(watchAddress).sendCopy(1), Reset, NoUpstream)
 }
+
+// TestSupersededSYNIsDropped guards against a flow that two upstreams have answered: a host that
+// stood still forwards the SYN of a flow that another host has opened meanwhile.
+func TestSupersededSYNIsDropped(t *testing.T) {
+	tests := []struct {
+		copies uint32
+		// superseded is the delay from which on the SYN is dropped.
+		superseded time.Duration
+	}{
+		{0, 200 * time.Millisecond}, {1, 400 * time.Millisecond}, {2, 800 * time.Millisecond}, {3, 800 * time.Millisecond},
+	}
+	for _, test := range tests {
+		h := newHarness(t, newEntry(1, localDC))
+		f := h.newFlow(watchAddress)
+		f.ack = test.copies
+		h.expectDecision(f.send(Segment{SYN: true, Delayed: test.superseded}), Drop, Superseded)
+		h.expectDecision(f.send(Segment{SYN: true, Delayed: test.superseded - 1}), Forward, Opened)
+	}
+}
--- a/internal/forward/echo_forwarder.go
+++ b/internal/forward/echo_forwarder.go
@@ -37,7 +37,7 @@
 // each packet.
 type EchoForwarder struct {
 	options EchoForwarderOptions
-	conn    *net.UDPConn
+	conn    *timedConn
 	metrics *echoMetrics
 	// received counts the packets from callers.
 	received atomic.Uint64
@@ -55,7 +55,11 @@
 	if err != nil {
 		return nil, err
 	}
-	f := &EchoForwarder{options: options, conn: conn, admissionWake: make(chan struct{}, 1)}
+	timed, err := newTimedConn(conn, options.Now)
+	if err != nil {
+		options.Logger.Info().Err(err).Msg("receipt_times_not_available")
+	}
+	f := &EchoForwarder{options: options, conn: timed, admissionWake: make(chan struct{}, 1)}
 	if f.metrics, err = newEchoMetrics(options.Registerer, options.Engine, options.Now); err != nil {
 		return nil, errors.Join(err, conn.Close())
 	}
@@ -121,6 +125,7 @@
 		w.dropMalformed(now, datagram, source)
 		return
 	}
+	w.segment.Delayed = f.conn.delayed
 	views := f.held.views.Load()
 	d := f.options.Engine.Decide(now, &w.segment)
 	if d.Verdict == echo.Hold {
--- a/internal/forward/echo_forwarder_test.go
+++ b/internal/forward/echo_forwarder_test.go
@@ -90,6 +90,35 @@
 	}
 }
 
+// TestSYNFromBeforeAStandstillIsNotForwarded guards against open flows that are misdirected: a
+// host that stood still sends a second upstream the SYN of a flow that another host has opened.
+func TestSYNFromBeforeAStandstillIsNotForwarded(t *testing.T) {
+	upstream, caller := listenUDP(t), listenUDP(t)
+	f := newTestForwarder(t, upstream.LocalAddr().(*net.UDPAddr).AddrPort())
+	defer f.conn.Close()
+	w := newEchoWorker(f)
+	pass := func(port uint16, stoodStill time.Duration) {
+		f.conn.now = func() time.Time { return time.Now().Add(stoodStill) }
+		if _, err := caller.WriteToUDPAddrPort(testPacket(port, true), f.Addr()); err != nil {
+			t.Fatal(err)
+		}
+		n, source, err := f.conn.ReadFromUDPAddrPort(w.buffer[w.headroom:])
+		if err != nil {
+			t.Fatal(err)
+		}
+		w.handle(w.buffer[w.headroom:w.headroom+n], source)
+	}
+	pass(1, 4*time.Second)
+	pass(2, 0)
+	packet := make([]byte, 64)
+	if _, err := upstream.Read(packet); err != nil {
+		t.Fatal(err)
+	}
+	if port := binary.BigEndian.Uint16(packet[w.headroom:]); port != 2 {
+		t.Errorf("the upstream got the SYN of port %d, want only that of port 2", port)
+	}
+}
+
 // BenchmarkScalingEcho measures how long it takes to forward a packet of a known flow
 // from the caller's socket to the upstream's, by the number of packets in flight. It
 // reports the voluntary context switches of the whole process, which also runs the
