echo: a copy read together with its SYN goes to the same upstream

The first upstream cannot have answered in between, which was taken for silence: each copy went to another upstream, all of them answered, and the caller's token was that of the last one. The host's record hides that until the flow meets a host without one.

Change: a copy that is read less than minRetransmitDelay after the SYN goes to the upstream that has the SYN, unless that one takes no flows or is suspected. Copies that come later are handled as before.

The test failed before (reason opened-elsewhere).

--- a/internal/flow/echo/syn.go
+++ b/internal/flow/echo/syn.go
@@ -62,8 +62,9 @@
 // open, the copy is a late one and is dropped: the caller has an answer, and an upstream
 // could take the copy for a new flow. The copy goes to the same upstream as before if that
 // has answered other flows since the first SYN, because then the first SYN or its answer
-// was merely lost. Otherwise it goes to another upstream if there is one. No copy goes to
-// an upstream that accepts no flows of the route.
+// was merely lost, or if this host has read both so soon after each other that they came from its
+// socket together. Otherwise it goes to another upstream if there is one. No copy goes to an
+// upstream that accepts no flows of the route.
 //
 // The flow may be open although this host has not seen the caller's ACK, which may still
 // be on its way or have reached another host. While its upstream may live, it is therefore
@@ -76,7 +77,7 @@
 	}
 	e.recordRetransmission(now, rec, rec.created)
 	accepted := r.accepts(u)
-	if accepted && !u.suspected() && u.lastAnswer.After(rec.created) {
+	if accepted && !u.suspected() && (u.lastAnswer.After(rec.created) || now.Sub(rec.created) < minRetransmitDelay) {
 		return e.openAgain(now, r, rec)
 	}
 	other, p := e.selectUpstream(now, r, u)
--- a/internal/flow/echo/syn_copy_test.go
+++ b/internal/flow/echo/syn_copy_test.go
@@ -156,3 +156,25 @@
 		h.expectDecision(f.send(Segment{SYN: true, Delayed: test.superseded - 1}), Forward, Opened)
 	}
 }
+
+// TestCopyReadWithItsSYNGoesToTheSameUpstream guards against a flow that two upstreams answer
+// because a slow host reads its SYN and the copies together: they show nothing of the first one.
+func TestCopyReadWithItsSYNGoesToTheSameUpstream(t *testing.T) {
+	h := newHarness(t, tenUpstreams()...)
+	for range 20 {
+		f := h.newFlow(watchAddress)
+		first := f.sendSYN()
+		h.advance(minRetransmitDelay - 1)
+		f.ack = 1
+		d := f.sendSYN()
+		h.expectDecision(d, Forward, OpenedAgain)
+		if d.Upstream != first.Upstream {
+			t.Fatalf("the copy goes to upstream %d, the SYN went to %d", d.Upstream, first.Upstream)
+		}
+	}
+	f := h.newFlow(watchAddress)
+	first := f.sendSYN()
+	h.updateUpstream(int(first.Upstream), func(e *catalog.Entry) { e.Draining = true })
+	f.ack = 1
+	h.expectDecision(f.sendSYN(), Forward, OpenedElsewhere)
+}
