echo, edge: try a mute upstream only after it has answered a probe

What callers saw: an upstream let some requests hang for 1.2 s.

Cause: a request that hangs keeps its slot until its caller gives up, 8 s there. Until then every trial waits behind those requests, is late, and is reset.

Change: a host probes a mute upstream before each trial, as often as it sent trials. A probe takes a slot, so an answer shows that there is a free one.

Tests of trials let the upstream answer a probe first; they check the same bounds, and that there is one probe for each trial. TestUpstreamThatLeavesProbesUnansweredGetsNoTrial is new.

--- a/internal/edge/prober.go
+++ b/internal/edge/prober.go
@@ -22,7 +22,7 @@
 	maxConcurrentProbes = 16
 )
 
-// prober probes suspected upstreams until the engine no longer suspects them. It
+// prober probes suspected and mute upstreams until there are none. It
 // sleeps while there are none.
 type prober struct {
 	engine *echo.Engine
@@ -66,7 +66,7 @@
 	defer func() { _ = probes.Wait() }() // the functions always return nil
 	timer := time.NewTimer(probePollInterval)
 	defer timer.Stop()
-	for p.engine.SuspectedCount() > 0 {
+	for p.engine.ProbedCount() > 0 {
 		p.probeDue(ctx, &probes)
 		timer.Reset(probePollInterval)
 		select {
--- a/internal/flow/echo/mute.go
+++ b/internal/flow/echo/mute.go
@@ -29,12 +29,14 @@
 	// lateValidity is how long the last request without an answer counts for resets. An upstream
 	// that has answered again since may be known to no host yet.
 	lateValidity = 3 * time.Second
-	// trialInterval is the mean time between two trials of all hosts together.
+	// trialInterval is the mean time between two checks before a trial, and so between two trials,
+	// of all hosts together.
 	trialInterval = 1500 * time.Millisecond
 )
 
 // muteness tells whether an upstream accepts requests and answers none. Probes do not show it:
-// they are answered, and so are SYNs.
+// they may be answered, and so are SYNs. One that leaves probes unanswered as well has no free
+// slot, for example because requests hang: it gets no trial, which would only wait there.
 type muteness struct {
 	// late is the number of requests of this host that are late, or have ended without an answer
 	// after they were, since the upstream last answered a request of this host. sent and lastSent
@@ -44,8 +46,10 @@
 	// since is when the upstream was found to be mute; zero if it is not. silentSince is when the
 	// first request without an answer had been sent then, by any host.
 	since, silentSince time.Time
-	// nextTrial is when this host may send a request to find out if the upstream answers.
-	nextTrial time.Time
+	// nextCheck is when this host may probe the upstream before the next trial. answersChecks is
+	// set once it has answered: the next request may be the trial.
+	nextCheck     time.Time
+	answersChecks bool
 }
 
 // mute reports whether the upstream seems to answer no requests. New flows avoid it.
@@ -122,6 +126,7 @@
 		u.muteness.sent = rec.requestedAt
 	}
 	u.muteness.late++
+	u.muteness.answersChecks = false
 	u.muteness.lastSent = latest(u.muteness.lastSent, rec.requestedAt)
 	e.noteEvidence()
 	e.judgeMute(now, u)
@@ -155,7 +160,7 @@
 		return
 	}
 	u.muteness.since, u.muteness.silentSince = now, l.sent
-	e.planTrial(now, u)
+	e.planCheck(now, u)
 	e.muteCount++
 	e.report(Event{Kind: Suspected, Upstream: u.Name, DataCentre: u.DataCentre, Reason: NoResponses, UnansweredFlows: l.count, Hosts: l.hosts, Age: timeSince(now, u.answeredAt), ProcessAge: now.Sub(u.seen.since)})
 }
@@ -187,22 +192,29 @@
 	e.judgeMute(now, u)
 }
 
-// planTrial determines when this host may send the next trial. The hosts do so at random, so that
-// all together send one in each trialInterval on average.
-func (e *Engine) planTrial(now time.Time, u *upstream) {
+// planCheck determines when this host may probe the mute upstream. The hosts do so at random, so
+// that all together probe it once in each trialInterval on average.
+func (e *Engine) planCheck(now time.Time, u *upstream) {
 	mean := trialInterval * time.Duration(max(1, e.hosts))
-	u.muteness.nextTrial = now.Add(time.Duration(e.random.ExpFloat64() * float64(mean)))
+	u.muteness.nextCheck = now.Add(time.Duration(e.random.ExpFloat64() * float64(mean)))
+}
+
+// checkDue reports whether the upstream is mute and is to be probed now.
+func (u *upstream) checkDue(now time.Time) bool {
+	return u.mute() && !u.muteness.answersChecks && !now.Before(u.muteness.nextCheck)
 }
 
 // chooseTrial returns a mute upstream of the pool to which a new flow of the route is sent to
-// find out if it answers, or nil. Only requests that may be repeated are sent.
+// find out if it answers, or nil. Only requests that may be repeated are sent, and only to an
+// upstream that has answered a probe.
 func (e *Engine) chooseTrial(now time.Time, r *route, p *pool) *upstream {
 	if e.muteCount == 0 || !r.Repeatable || p == nil {
 		return nil
 	}
 	for _, u := range p.upstreams {
-		if u.mute() && u.acceptsFlows() && !now.Before(u.muteness.nextTrial) && r.allows(u) && e.withinWarmup(now, u) {
-			e.planTrial(now, u)
+		if u.mute() && u.muteness.answersChecks && u.acceptsFlows() && r.allows(u) && e.withinWarmup(now, u) {
+			u.muteness.answersChecks = false
+			e.planCheck(now, u)
 			return u
 		}
 	}
--- a/internal/flow/echo/mute_test.go
+++ b/internal/flow/echo/mute_test.go
@@ -44,15 +44,48 @@
 	return h, flows
 }
 
+// openTrial lets the mute upstream 1 answer a probe and returns the flow that tries it.
+func (h *harness) openTrial() *testFlow {
+	g := NewWithT(h.t)
+	h.engine.upstreams[1].muteness.nextCheck = h.now
+	g.Expect(h.engine.DueProbes(h.now)).To(HaveLen(1))
+	h.engine.ProbeSucceeded(h.now, 1)
+	g.Expect(h.muteNames()).To(ConsistOf("i-00000001"), "probes do not show that it answers requests")
+	g.Expect(h.newFlow(orderAddress).open().Upstream).NotTo(BeEquivalentTo(1))
+	trial := h.newFlow(watchAddress)
+	g.Expect(trial.open().Upstream).To(BeEquivalentTo(1))
+	return trial
+}
+
+// TestUpstreamThatLeavesProbesUnansweredGetsNoTrial guards against resets of flows that are sent
+// to an upstream whose slots are all taken by requests that hang: it lives, and cannot answer.
+func TestUpstreamThatLeavesProbesUnansweredGetsNoTrial(t *testing.T) {
+	g := NewWithT(t)
+	h, flows := newMuteHarness(t, minLateRequests)
+	probes := 0
+	for range 600 {
+		h.advance(50 * time.Millisecond)
+		probes += len(h.engine.DueProbes(h.now))
+		flows[2][0].sendRequest()
+		flows[2][0].ackResponse()
+		f := h.newFlow(watchAddress)
+		g.Expect(f.open().Upstream).NotTo(BeEquivalentTo(1))
+		f.sendFIN()
+	}
+	g.Expect(probes).To(BeNumerically(">", 5))
+	h.engine.ProbeFailed(1)
+	g.Expect(h.newFlow(watchAddress).open().Upstream).NotTo(BeEquivalentTo(1))
+	h.openTrial()
+}
+
 // TestMuteUpstreamGetsNoRequests covers an upstream that accepts flows, answers health checks and
 // answers no request: the load of deploy/days/never-answer.toml.
 func TestMuteUpstreamGetsNoRequests(t *testing.T) {
 	g := NewWithT(t)
 	h, flows := newMuteHarness(t, minLateRequests)
 	g.Expect(h.muteNames()).To(ConsistOf("i-00000001"))
-	g.Expect(h.engine.DueProbes(h.now)).To(BeEmpty(), "probes show nothing")
-	h.engine.ProbeSucceeded(h.now, 1)
-	h.engine.upstreams[1].muteness.nextTrial = h.now.Add(time.Hour)
+	h.engine.upstreams[1].muteness.nextCheck = h.now.Add(time.Hour)
+	g.Expect(h.engine.DueProbes(h.now)).To(BeEmpty())
 	for range 30 {
 		g.Expect(h.newFlow(watchAddress).open().Upstream).NotTo(BeEquivalentTo(1))
 		g.Expect(h.newFlow(orderAddress).open().Upstream).NotTo(BeEquivalentTo(1))
@@ -60,9 +93,7 @@
 	h.expectDecision(flows[1][4].sendRequest(), Forward, Known) // it may have answered through other hosts
 	h.passPackets(flows[2][0], time.Second)
 	h.expectDecision(flows[1][4].retransmit(), Forward, Known)
-	h.engine.upstreams[1].muteness.nextTrial = h.now
-	trial := h.newFlow(watchAddress)
-	g.Expect(trial.open().Upstream).To(BeEquivalentTo(1))
+	trial := h.openTrial()
 	h.leaveLate(flows[2][0], trial)
 	h.expectDecision(flows[1][5].sendRequest(), Reset, Unreachable)
 	h.passPackets(flows[2][0], suspectedSweepInterval)
@@ -77,7 +108,7 @@
 	g.Expect(resets).To(HaveKeyWithValue(flows[1][0].caller.String(), Unreachable), "its caller repeats the request")
 	g.Expect(resets).To(HaveKeyWithValue(flows[1][3].caller.String(), UnreachableIdle))
 	g.Expect(resets).NotTo(HaveKey(flows[2][0].caller.String()))
-	h.engine.upstreams[1].muteness.nextTrial = h.now.Add(time.Hour)
+	h.engine.upstreams[1].muteness.nextCheck = h.now.Add(time.Hour)
 	h.passPackets(flows[2][0], lateValidity)
 	late := h.newFlow(watchAddress)
 	late.token = h.engine.upstreams[1].token
@@ -218,9 +249,13 @@
 	h, flows := newMuteHarness(t, minLateRequests)
 	const hosts, seconds = 5, 600
 	h.engine.hosts = hosts
-	trials := 0
+	trials, probes := 0, 0
 	for range seconds * 20 {
 		h.advance(50 * time.Millisecond)
+		for _, p := range h.engine.DueProbes(h.now) {
+			probes++
+			h.engine.ProbeSucceeded(h.now, p.Upstream)
+		}
 		flows[2][0].sendRequest()
 		flows[2][0].ackResponse()
 		order := h.newFlow(orderAddress)
@@ -236,9 +271,8 @@
 	}
 	g.Expect(trials).To(BeNumerically(">", 0))
 	g.Expect(float64(trials*hosts)/seconds).To(BeNumerically("<", 1), "requests a second of all hosts")
-	h.engine.upstreams[1].muteness.nextTrial = h.now
-	trial := h.newFlow(watchAddress)
-	g.Expect(trial.open().Upstream).To(BeEquivalentTo(1))
+	g.Expect(probes).To(Equal(trials))
+	trial := h.openTrial()
 	trial.sendRequest()
 	trial.ackResponse()
 	g.Expect(h.muteNames()).To(BeEmpty())
--- a/internal/flow/echo/probe.go
+++ b/internal/flow/echo/probe.go
@@ -12,7 +12,7 @@
 // process answers at its address.
 var ErrUnreachable = errors.New("upstream cannot be reached at its address")
 
-// Probe describes a health check of a suspected upstream.
+// Probe describes a health check of a suspected or mute upstream.
 type Probe struct {
 	// Upstream and Name are the upstream's ID and name.
 	Upstream catalog.UpstreamID
@@ -24,31 +24,44 @@
 
 // DueProbes returns the probes to start now. A suspected upstream that accepts new
 // flows is probed every probeInterval, unless this host has no evidence of its own: the
-// hosts that have some probe it. A probe of an upstream that warms up counts as an opening
-// packet.
+// hosts that have some probe it. A mute one is probed before each trial. A probe of an upstream
+// that warms up counts as an opening packet.
 func (e *Engine) DueProbes(now time.Time) []Probe {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if e.suspectedCount == 0 {
+	if e.suspectedCount+e.muteCount == 0 {
 		return nil
 	}
 	var due []Probe
 	for _, u := range e.upstreams {
-		if u.suspected() && (!u.byReports || u.unansweredFlows > 0) && u.acceptsFlows() && now.Sub(u.lastProbe) >= probeInterval && e.spendWarmup(now, u) {
+		if !u.acceptsFlows() || !u.probeDue(now) && !u.checkDue(now) || !e.spendWarmup(now, u) {
+			continue
+		}
+		if u.mute() {
+			e.planCheck(now, u)
+		} else {
 			u.lastProbe = now
-			due = append(due, Probe{Upstream: u.ID, Name: u.Name, Address: u.Address, HealthPath: e.healthPaths[u.Service]})
 		}
+		due = append(due, Probe{Upstream: u.ID, Name: u.Name, Address: u.Address, HealthPath: e.healthPaths[u.Service]})
 	}
 	return due
 }
 
+// probeDue reports whether the upstream is suspected and is to be probed now.
+func (s *suspicion) probeDue(now time.Time) bool {
+	return s.suspected() && (!s.byReports || s.unansweredFlows > 0) && now.Sub(s.lastProbe) >= probeInterval
+}
+
 // ProbeSucceeded records that a probe of the upstream succeeded. This clears the
 // suspicion, unless the upstream is still in the hold-down that applies if it has
-// answered no flow since it was last cleared.
+// answered no flow since it was last cleared. A mute upstream may get a trial.
 func (e *Engine) ProbeSucceeded(now time.Time, id catalog.UpstreamID) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	u := e.upstreams[id]
+	if u != nil && u.mute() {
+		u.muteness.answersChecks = true
+	}
 	if u == nil || !u.suspected() {
 		return
 	}
@@ -68,9 +81,9 @@
 	}
 }
 
-// SuspectedCount returns the number of suspected upstreams.
-func (e *Engine) SuspectedCount() int {
+// ProbedCount returns the number of suspected and mute upstreams, which may have to be probed.
+func (e *Engine) ProbedCount() int {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.suspectedCount
+	return e.suspectedCount + e.muteCount
 }
--- a/internal/flow/echo/regression_test.go
+++ b/internal/flow/echo/regression_test.go
@@ -17,12 +17,12 @@
 	h := newHarness(t, newEntry(1, localDC), newEntry(2, localDC))
 	flows := h.openOnEach(2, 3)
 	h.leaveUnanswered(flows[1][0], flows[1][1])
-	g.Expect(h.engine.SuspectedCount()).To(Equal(1))
+	g.Expect(h.engine.ProbedCount()).To(Equal(1))
 	h.upstreams = h.upstreams[1:]
 	h.applyView()
-	g.Expect(h.engine.SuspectedCount()).To(BeZero())
+	g.Expect(h.engine.ProbedCount()).To(BeZero())
 	flows[1][0].ackResponse()
-	g.Expect(h.engine.SuspectedCount()).To(BeZero())
+	g.Expect(h.engine.ProbedCount()).To(BeZero())
 }
 
 // TestFlowWithoutRequestIsNotReportedUnanswered covers a caller that opens a flow and
--- a/internal/flow/echo/suspicion_test.go
+++ b/internal/flow/echo/suspicion_test.go
@@ -233,7 +233,7 @@
 	h.advance(probeInterval)
 	g.Expect(h.engine.DueProbes(h.now)).To(HaveLen(1))
 	h.engine.ProbeSucceeded(h.now, 1)
-	g.Expect(h.engine.SuspectedCount()).To(BeZero())
+	g.Expect(h.engine.ProbedCount()).To(BeZero())
 }
 
 func TestProbesCannotClearUnresponsiveUpstreamDuringHoldDown(t *testing.T) {
@@ -242,16 +242,16 @@
 	flows := h.openOnEach(2, 2)
 	h.leaveUnanswered(flows[1]...)
 	h.engine.ProbeSucceeded(h.now, 1)
-	g.Expect(h.engine.SuspectedCount()).To(BeZero(), "the first successful probe clears it")
+	g.Expect(h.engine.ProbedCount()).To(BeZero(), "the first successful probe clears it")
 	for _, holdDown := range []time.Duration{initialHoldDown, 2 * initialHoldDown, 4 * initialHoldDown, maxHoldDown, maxHoldDown} {
 		h.leaveUnanswered(flows[1]...)
-		g.Expect(h.engine.SuspectedCount()).To(Equal(1))
+		g.Expect(h.engine.ProbedCount()).To(Equal(1))
 		h.advance(holdDown - time.Millisecond)
 		h.engine.ProbeSucceeded(h.now, 1)
-		g.Expect(h.engine.SuspectedCount()).To(Equal(1), "after %s", holdDown)
+		g.Expect(h.engine.ProbedCount()).To(Equal(1), "after %s", holdDown)
 		h.advance(time.Millisecond)
 		h.engine.ProbeSucceeded(h.now, 1)
-		g.Expect(h.engine.SuspectedCount()).To(BeZero(), "after %s", holdDown)
+		g.Expect(h.engine.ProbedCount()).To(BeZero(), "after %s", holdDown)
 		h.engine.lastPacket = h.now // otherwise the gap counts as a pause of the host
 	}
 }
@@ -262,7 +262,7 @@
 	flows := h.openOnEach(2, 2)
 	h.leaveUnanswered(flows[1]...)
 	h.updateUpstream(1, func(e *catalog.Entry) { e.Started = startTime.Add(time.Hour) })
-	g.Expect(h.engine.SuspectedCount()).To(BeZero())
+	g.Expect(h.engine.ProbedCount()).To(BeZero())
 }
 
 func TestUnresponsiveDataCentreIsSuspectedAsAWhole(t *testing.T) {
