echo, edge: reset flows of a mute upstream only if it answers probes

Change: resets need an answered probe as well. Hosts with flows at a mute upstream probe it at once.

--- a/internal/edge/prober.go
+++ b/internal/edge/prober.go
@@ -22,8 +22,7 @@
 	maxConcurrentProbes = 16
 )
 
-// prober probes suspected and mute upstreams until there are none. It
-// sleeps while there are none.
+// prober probes suspected and mute upstreams. It sleeps while there are none.
 type prober struct {
 	engine *echo.Engine
 	// check returns nil if the probed upstream answers, and an error that wraps
@@ -31,7 +30,7 @@
 	check  func(context.Context, echo.Probe) error
 	now    func() time.Time
 	logger zerolog.Logger
-	// wake receives a value when an upstream becomes suspected.
+	// wake receives a value when an upstream becomes suspected or mute.
 	wake chan struct{}
 }
 
@@ -39,7 +38,7 @@
 	return &prober{engine: engine, check: check, now: now, logger: logger, wake: make(chan struct{}, 1)}
 }
 
-// wakeUp makes run look for suspected upstreams. It never blocks.
+// wakeUp makes run look for upstreams to probe. It never blocks.
 func (p *prober) wakeUp() {
 	select {
 	case p.wake <- struct{}{}:
@@ -47,7 +46,7 @@
 	}
 }
 
-// run probes suspected upstreams until ctx is cancelled.
+// run probes suspected and mute upstreams until ctx is cancelled.
 func (p *prober) run(ctx context.Context) error {
 	for {
 		select {
@@ -59,7 +58,7 @@
 	}
 }
 
-// probeUntilCleared probes suspected upstreams until there are none.
+// probeUntilCleared probes suspected and mute upstreams until there are none.
 func (p *prober) probeUntilCleared(ctx context.Context) {
 	var probes errgroup.Group
 	probes.SetLimit(maxConcurrentProbes)
@@ -98,7 +97,5 @@
 		return
 	}
 	p.logger.Debug().Err(err).Str("upstream", probe.Name).Msg("check_failed")
-	if errors.Is(err, echo.ErrUnreachable) {
-		p.engine.ProbeFailed(probe.Upstream)
-	}
+	p.engine.ProbeFailed(probe.Upstream, errors.Is(err, echo.ErrUnreachable))
 }
--- a/internal/experiment/simulation.go
+++ b/internal/experiment/simulation.go
@@ -285,7 +285,7 @@
 			engine.ProbeSucceeded(sim.now, p.Upstream)
 			continue
 		}
-		sim.after(connectTimeout, func() { engine.ProbeFailed(p.Upstream) })
+		sim.after(connectTimeout, func() { engine.ProbeFailed(p.Upstream, true) })
 	}
 }
 
--- a/internal/flow/echo/mute.go
+++ b/internal/flow/echo/mute.go
@@ -34,9 +34,10 @@
 	trialInterval = 1500 * time.Millisecond
 )
 
-// muteness tells whether an upstream accepts requests and answers none. Probes do not show it:
-// they may be answered, and so are SYNs. One that leaves probes unanswered as well has no free
-// slot, for example because requests hang: it gets no trial, which would only wait there.
+// muteness tells whether an upstream accepts requests and answers none, although it answers SYNs.
+// Probes do not end it. They tell an upstream that answers nothing but probes from one without a
+// free slot, for example because requests hang: that one lives, so its flows are not reset, and
+// it gets no trial, which would only wait there.
 type muteness struct {
 	// late is the number of requests of this host that are late, or have ended without an answer
 	// after they were, since the upstream last answered a request of this host. sent and lastSent
@@ -46,10 +47,10 @@
 	// since is when the upstream was found to be mute; zero if it is not. silentSince is when the
 	// first request without an answer had been sent then, by any host.
 	since, silentSince time.Time
-	// nextCheck is when this host may probe the upstream before the next trial. answersChecks is
-	// set once it has answered: the next request may be the trial.
-	nextCheck     time.Time
-	answersChecks bool
+	// nextCheck is when this host may probe the upstream. answersProbes is set while it has
+	// answered the last probe, and trialReady if no trial has been sent since then.
+	nextCheck                 time.Time
+	answersProbes, trialReady bool
 }
 
 // mute reports whether the upstream seems to answer no requests. New flows avoid it.
@@ -81,10 +82,10 @@
 	return l
 }
 
-// confirmedMute reports whether the upstream has answered no requests for so long that its flows
-// are reset.
+// confirmedMute reports whether the upstream has answered no requests for so long, although it
+// answers probes, that its flows are reset.
 func (e *Engine) confirmedMute(now time.Time, u *upstream) bool {
-	if !u.mute() {
+	if !u.mute() || !u.muteness.answersProbes {
 		return false
 	}
 	l := u.lateRequestsOf(now)
@@ -126,7 +127,7 @@
 		u.muteness.sent = rec.requestedAt
 	}
 	u.muteness.late++
-	u.muteness.answersChecks = false
+	u.muteness.trialReady = false
 	u.muteness.lastSent = latest(u.muteness.lastSent, rec.requestedAt)
 	e.noteEvidence()
 	e.judgeMute(now, u)
@@ -160,7 +161,9 @@
 		return
 	}
 	u.muteness.since, u.muteness.silentSince = now, l.sent
-	e.planCheck(now, u)
+	if e.planCheck(now, u); u.openFlows > 0 {
+		u.muteness.nextCheck = now // they may have to be reset
+	}
 	e.muteCount++
 	e.report(Event{Kind: Suspected, Upstream: u.Name, DataCentre: u.DataCentre, Reason: NoResponses, UnansweredFlows: l.count, Hosts: l.hosts, Age: timeSince(now, u.answeredAt), ProcessAge: now.Sub(u.seen.since)})
 }
@@ -201,7 +204,7 @@
 
 // checkDue reports whether the upstream is mute and is to be probed now.
 func (u *upstream) checkDue(now time.Time) bool {
-	return u.mute() && !u.muteness.answersChecks && !now.Before(u.muteness.nextCheck)
+	return u.mute() && !u.muteness.trialReady && !now.Before(u.muteness.nextCheck)
 }
 
 // chooseTrial returns a mute upstream of the pool to which a new flow of the route is sent to
@@ -212,8 +215,8 @@
 		return nil
 	}
 	for _, u := range p.upstreams {
-		if u.mute() && u.muteness.answersChecks && u.acceptsFlows() && r.allows(u) && e.withinWarmup(now, u) {
-			u.muteness.answersChecks = false
+		if u.mute() && u.muteness.trialReady && u.acceptsFlows() && r.allows(u) && e.withinWarmup(now, u) {
+			u.muteness.trialReady = false
 			e.planCheck(now, u)
 			return u
 		}
--- a/internal/flow/echo/probe.go
+++ b/internal/flow/echo/probe.go
@@ -60,7 +60,7 @@
 	defer e.mu.Unlock()
 	u := e.upstreams[id]
 	if u != nil && u.mute() {
-		u.muteness.answersChecks = true
+		u.muteness.answersProbes, u.muteness.trialReady = true, true
 	}
 	if u == nil || !u.suspected() {
 		return
@@ -71,13 +71,18 @@
 	}
 }
 
-// ProbeFailed records that a probe could not reach the upstream. Until another one does, its
-// repeatable requests are reset.
-func (e *Engine) ProbeFailed(id catalog.UpstreamID) {
+// ProbeFailed records that the upstream did not answer a probe. If it could not even be reached,
+// its repeatable requests are reset until another probe reaches it.
+func (e *Engine) ProbeFailed(id catalog.UpstreamID, unreachable bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if u := e.upstreams[id]; u != nil && u.suspected() {
-		u.unreachable = true
+	u := e.upstreams[id]
+	switch {
+	case u == nil:
+	case u.suspected():
+		u.unreachable = u.unreachable || unreachable
+	case u.mute():
+		u.muteness.answersProbes, u.muteness.trialReady = false, false
 	}
 }
 
