echo: reset flows of a mute upstream for 3 s without a probe

Cause: with the commit before, a request that hangs is not reset, although its caller would be served elsewhere. But the first late request was sent to an upstream that failed at that moment; only later ones may merely wait behind it.

Change: within lateValidity of the first late request resets need no probe.

--- a/internal/flow/echo/mute.go
+++ b/internal/flow/echo/mute.go
@@ -26,8 +26,8 @@
 	// before flows are reset. When routers move flows to another host, the answers to all requests
 	// that are in progress are acknowledged there: these were sent within a typical time.
 	minLateSpan = 200 * time.Millisecond
-	// lateValidity is how long the last request without an answer counts for resets. An upstream
-	// that has answered again since may be known to no host yet.
+	// lateValidity is how long a request without an answer counts for resets. An upstream that has
+	// answered again since may be known to no host yet.
 	lateValidity = 3 * time.Second
 	// trialInterval is the mean time between two checks before a trial, and so between two trials,
 	// of all hosts together.
@@ -82,14 +82,18 @@
 	return l
 }
 
-// confirmedMute reports whether the upstream has answered no requests for so long, although it
-// answers probes, that its flows are reset.
+// confirmedMute reports whether the upstream has answered no requests for so long that its flows
+// are reset. Requests that hang keep its slots until their callers give up, so later ones may be
+// late although it works again. From lateValidity after the first one on, it must therefore have
+// a free slot, which an answer to a probe shows.
 func (e *Engine) confirmedMute(now time.Time, u *upstream) bool {
-	if !u.mute() || !u.muteness.answersProbes {
+	if !u.mute() {
 		return false
 	}
 	l := u.lateRequestsOf(now)
-	return l.lastSent.Sub(l.sent) >= minLateSpan && now.Sub(l.sent) >= e.silenceBeforeReset(u) && now.Sub(l.lastSent) < lateValidity
+	silent := now.Sub(l.sent)
+	return l.lastSent.Sub(l.sent) >= minLateSpan && silent >= e.silenceBeforeReset(u) &&
+		(silent < lateValidity || u.muteness.answersProbes) && now.Sub(l.lastSent) < lateValidity
 }
 
 // lateAfter returns the time after which a request counts as late, or zero while the typical
