echo: one probe before each trial, none at once

Cause: the probe that all hosts sent at once to a mute upstream allowed each of them a trial.

Change: without that probe. Since resets need none for 3 s, nothing else used it.

--- a/internal/flow/echo/mute.go
+++ b/internal/flow/echo/mute.go
@@ -165,9 +165,7 @@
 		return
 	}
 	u.muteness.since, u.muteness.silentSince = now, l.sent
-	if e.planCheck(now, u); u.openFlows > 0 {
-		u.muteness.nextCheck = now // they may have to be reset
-	}
+	e.planCheck(now, u)
 	e.muteCount++
 	e.report(Event{Kind: Suspected, Upstream: u.Name, DataCentre: u.DataCentre, Reason: NoResponses, UnansweredFlows: l.count, Hosts: l.hosts, Age: timeSince(now, u.answeredAt), ProcessAge: now.Sub(u.seen.since)})
 }
