soak: upstreams start again under their IDs, and callers keep flows idle

Cause: the soak replaced upstreams by others with new IDs only, and all its callers sent again within 0.24 s, so nothing covered flows of a former process or resets of idle flows.

A reset meanwhile is a violation if its upstream's process runs and there has been no recent fault. A flow of a former process counts as dead, also for the other callers.

--- a/internal/soak/caller.go
+++ b/internal/soak/caller.go
@@ -18,8 +18,10 @@
 	dc      int
 	standin *standin.Caller
 	random  *rand.Rand
-	cancel  context.CancelFunc
-	done    chan struct{}
+	// servedAt is when the caller's last request was served.
+	servedAt time.Time
+	cancel   context.CancelFunc
+	done     chan struct{}
 }
 
 // startCallers starts the callers, alternating between the data centres.
@@ -71,7 +73,7 @@
 		route = 1
 	}
 	faultsOver := r.faultsOver.Load()
-	wasOpen := c.standin.HasFlow()
+	wasOpen := c.hasLiveFlow()
 	stable := r.stable()
 	requestCtx, cancel := context.WithTimeout(ctx, requestTimeout)
 	err := c.standin.SendRequest(requestCtx, virtualAddress(service, route), services[service], id, !keepFlow, c.random.IntN(4000))
@@ -87,6 +89,9 @@
 	if ctx.Err() != nil {
 		return
 	}
+	if err == nil {
+		c.servedAt = time.Now()
+	}
 	c.recordOutcome(err, faultsOver)
 	r.checkReset(err, wasOpen, stable)
 	if errors.Is(err, standin.ErrNotOpened) && r.recorder.RunCount(id) > 0 && !keepFlow {
@@ -97,6 +102,12 @@
 	}
 }
 
+// hasLiveFlow reports whether a flow is open and the process that served its last request still
+// runs. A new process of the same upstream resets the flow.
+func (c *caller) hasLiveFlow() bool {
+	return c.standin.HasFlow() && c.run.runsSince(c.standin.FlowToken(), c.servedAt)
+}
+
 // recordOutcome counts a request by its outcome. A request sent after all faults had
 // ended also counts for the final check.
 func (c *caller) recordOutcome(err error, faultsOver bool) {
--- a/internal/soak/inject.go
+++ b/internal/soak/inject.go
@@ -216,7 +216,7 @@
 	if u == nil {
 		return nil
 	}
-	u.retired = true
+	r.retire(u)
 	if err := r.addUpstream(u.dc, u.standin.Service()); err != nil {
 		r.recorder.RecordViolation("%v", err)
 		return nil
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -14,6 +14,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/oatlatch/oatlatch/internal/flow/echo"
 	"github.com/oatlatch/oatlatch/platform"
 	"github.com/oatlatch/oatlatch/platform/standin"
 )
@@ -28,16 +29,17 @@
 	random  *rand.Rand
 	// restoreRandom draws the restores of the store, apart from all other faults.
 	restoreRandom *rand.Rand
-	// evacuationRandom draws the evacuations, apart from all faults.
-	evacuationRandom *rand.Rand
-	dir              string
-	log              *syncWriter
-	readyPath        string
-	store            *standin.Store
-	recorder         *standin.Recorder
-	counters         counters
-	hosts            []*hostProcess
-	callers          []*caller
+	// evacuationRandom draws the evacuations, and restartRandom the restarts of upstreams, apart
+	// from all other faults.
+	evacuationRandom, restartRandom *rand.Rand
+	dir                             string
+	log                             *syncWriter
+	readyPath                       string
+	store                           *standin.Store
+	recorder                        *standin.Recorder
+	counters                        counters
+	hosts                           []*hostProcess
+	callers                         []*caller
 	// basePort is the port for packets, the first of portsPerRun ports that hosts and
 	// upstreams use.
 	basePort uint16
@@ -56,8 +58,12 @@
 	// evacuated is the name of the evacuated data centre; empty for none.
 	evacuated string
 
-	// mu guards faultCounts, lastStoreFaultEnd and activeStoreFaults.
+	// mu guards faultCounts, lastStoreFaultEnd, activeStoreFaults, processSince and ending.
 	mu sync.Mutex
+	// processSince holds, by their tokens, since when the processes of upstreams run that have
+	// started again. ending holds the tokens of upstreams whose processes end soon.
+	processSince map[echo.Token]time.Time
+	ending       map[echo.Token]bool
 	// version is the version of the configuration in the store.
 	version          atomic.Uint64
 	routes           []standin.Route
@@ -96,7 +102,8 @@
 	defer ports.Close()
 	r := &soakRun{
 		options: options, random: rand.New(rand.NewPCG(options.Seed, 7)), restoreRandom: rand.New(rand.NewPCG(options.Seed, 11)),
-		evacuationRandom: rand.New(rand.NewPCG(options.Seed, 13)), dir: dir, basePort: basePort, log: &syncWriter{w: options.Log},
+		evacuationRandom: rand.New(rand.NewPCG(options.Seed, 13)), restartRandom: rand.New(rand.NewPCG(options.Seed, 17)),
+		processSince: make(map[echo.Token]time.Time), ending: make(map[echo.Token]bool), dir: dir, basePort: basePort, log: &syncWriter{w: options.Log},
 		readyPath: platform.ReadyPath, store: store, recorder: standin.NewRecorder(), faultCounts: make(map[string]int),
 	}
 	ctx, cancel := context.WithCancel(ctx)
@@ -133,7 +140,10 @@
 	if err := r.startHosts(ctx); err != nil {
 		return err
 	}
-	return r.startCallers(ctx)
+	if err := r.startCallers(ctx); err != nil {
+		return err
+	}
+	return r.startIdleCallers(ctx)
 }
 
 // startHosts starts all hosts and waits until they are ready.
@@ -294,6 +304,7 @@
 		if time.Since(started)%(plannedPhase+faultPhase) > plannedPhase {
 			kinds = append(slices.Clone(plannedOperations), externalFaults...)
 			r.restoreStoreAtRandom()
+			r.restartUpstreamAtRandom()
 		}
 		r.evacuateAtRandom()
 		r.inject(kinds)
