--- a/internal/flow/echo/mute.go
+++ b/internal/flow/echo/mute.go
@@ -29,7 +29,7 @@
 	// lateValidity is how long a request without an answer counts for resets. An upstream that has
 	// answered again since may be known to no host yet.
 	lateValidity = 3 * time.Second
-	// trialInterval is the mean time between two checks before a trial, and so between two trials,
+	// trialInterval is the mean time between two probes before a trial, and so between two trials,
 	// of all hosts together.
 	trialInterval = 1500 * time.Millisecond
 )
@@ -47,9 +47,9 @@
 	// since is when the upstream was found to be mute; zero if it is not. silentSince is when the
 	// first request without an answer had been sent then, by any host.
 	since, silentSince time.Time
-	// nextCheck is when this host may probe the upstream. answersProbes is set while it has
+	// nextProbe is when this host may probe the upstream. answersProbes is set while it has
 	// answered the last probe, and trialReady if no trial has been sent since then.
-	nextCheck                 time.Time
+	nextProbe                 time.Time
 	answersProbes, trialReady bool
 }
 
@@ -165,7 +165,7 @@
 		return
 	}
 	u.muteness.since, u.muteness.silentSince = now, l.sent
-	e.planCheck(now, u)
+	e.planProbe(now, u)
 	e.muteCount++
 	e.report(Event{Kind: Suspected, Upstream: u.Name, DataCentre: u.DataCentre, Reason: NoResponses, UnansweredFlows: l.count, Hosts: l.hosts, Age: timeSince(now, u.answeredAt), ProcessAge: now.Sub(u.seen.since)})
 }
@@ -197,16 +197,16 @@
 	e.judgeMute(now, u)
 }
 
-// planCheck determines when this host may probe the mute upstream. The hosts do so at random, so
+// planProbe determines when this host may probe the mute upstream. The hosts do so at random, so
 // that all together probe it once in each trialInterval on average.
-func (e *Engine) planCheck(now time.Time, u *upstream) {
+func (e *Engine) planProbe(now time.Time, u *upstream) {
 	mean := trialInterval * time.Duration(max(1, e.hosts))
-	u.muteness.nextCheck = now.Add(time.Duration(e.random.ExpFloat64() * float64(mean)))
+	u.muteness.nextProbe = now.Add(time.Duration(e.random.ExpFloat64() * float64(mean)))
 }
 
-// checkDue reports whether the upstream is mute and is to be probed now.
-func (u *upstream) checkDue(now time.Time) bool {
-	return u.mute() && !u.muteness.trialReady && !now.Before(u.muteness.nextCheck)
+// trialProbeDue reports whether the upstream is mute and is to be probed now, before a trial.
+func (u *upstream) trialProbeDue(now time.Time) bool {
+	return u.mute() && !u.muteness.trialReady && !now.Before(u.muteness.nextProbe)
 }
 
 // chooseTrial returns a mute upstream of the pool to which a new flow of the route is sent to
@@ -219,7 +219,7 @@
 	for _, u := range p.upstreams {
 		if u.mute() && u.muteness.trialReady && u.acceptsFlows() && r.allows(u) && e.withinWarmup(now, u) {
 			u.muteness.trialReady = false
-			e.planCheck(now, u)
+			e.planProbe(now, u)
 			return u
 		}
 	}
--- a/internal/flow/echo/mute_test.go
+++ b/internal/flow/echo/mute_test.go
@@ -47,7 +47,7 @@
 // openTrial lets the mute upstream 1 answer a probe and returns the flow that tries it.
 func (h *harness) openTrial() *testFlow {
 	g := NewWithT(h.t)
-	h.engine.upstreams[1].muteness.nextCheck = h.now
+	h.engine.upstreams[1].muteness.nextProbe = h.now
 	g.Expect(h.engine.DueProbes(h.now)).To(HaveLen(1))
 	h.engine.ProbeSucceeded(h.now, 1)
 	g.Expect(h.muteNames()).To(ConsistOf("i-00000001"), "probes do not show that it answers requests")
@@ -95,7 +95,7 @@
 	g := NewWithT(t)
 	h, flows := newMuteHarness(t, minLateRequests)
 	g.Expect(h.muteNames()).To(ConsistOf("i-00000001"))
-	h.engine.upstreams[1].muteness.nextCheck = h.now.Add(time.Hour)
+	h.engine.upstreams[1].muteness.nextProbe = h.now.Add(time.Hour)
 	g.Expect(h.engine.DueProbes(h.now)).To(BeEmpty())
 	for range 30 {
 		g.Expect(h.newFlow(watchAddress).open().Upstream).NotTo(BeEquivalentTo(1))
@@ -119,7 +119,7 @@
 	g.Expect(resets).To(HaveKeyWithValue(flows[1][0].caller.String(), Unreachable), "its caller repeats the request")
 	g.Expect(resets).To(HaveKeyWithValue(flows[1][3].caller.String(), UnreachableIdle))
 	g.Expect(resets).NotTo(HaveKey(flows[2][0].caller.String()))
-	h.engine.upstreams[1].muteness.nextCheck = h.now.Add(time.Hour)
+	h.engine.upstreams[1].muteness.nextProbe = h.now.Add(time.Hour)
 	h.passPackets(flows[2][0], lateValidity)
 	late := h.newFlow(watchAddress)
 	late.token = h.engine.upstreams[1].token
--- a/internal/flow/echo/probe.go
+++ b/internal/flow/echo/probe.go
@@ -34,11 +34,11 @@
 	}
 	var due []Probe
 	for _, u := range e.upstreams {
-		if !u.acceptsFlows() || !u.probeDue(now) && !u.checkDue(now) || !e.spendWarmup(now, u) {
+		if !u.acceptsFlows() || !u.probeDue(now) && !u.trialProbeDue(now) || !e.spendWarmup(now, u) {
 			continue
 		}
 		if u.mute() {
-			e.planCheck(now, u)
+			e.planProbe(now, u)
 		} else {
 			u.lastProbe = now
 		}
