echo: requests on flows of a former process take no slot of the new one

Change: such a request ends once it is late, and is no recent request. If the flow is one of the new process after all, opened before this host had read of it, an answer in time is still seen.

TestRequestsOnFlowsOfAFormerProcessTakeNoSlots failed before (6 outstanding).

--- a/internal/flow/echo/established.go
+++ b/internal/flow/echo/established.go
@@ -103,11 +103,12 @@
 	end := s.Seq + uint32(s.Length)
 	switch {
 	case s.Length > 0 && seqAfter(end, rec.nextSeq):
-		if rec.sentRequest || !rec.sawSYN {
-			e.countRecent(now, rec.upstream) // the first request is counted with the SYN
-		}
+		counted := rec.sawSYN && !rec.sentRequest // with the SYN
 		rec.nextSeq, rec.sentRequest = end, true
 		rec.startRequest(now)
+		if !counted && e.holderOf(rec) != FormerProcess {
+			e.countRecent(now, rec.upstream)
+		}
 		r.outstanding.add(rec)
 	case s.Length > 0:
 		// If the flow has moved here from another host, this host may not know when the
--- a/internal/flow/echo/mute.go
+++ b/internal/flow/echo/mute.go
@@ -105,16 +105,22 @@
 	return max(minLate, lateFactor*t.time)
 }
 
-// checkLate counts the outstanding requests of the route that have become late.
+// checkLate counts the outstanding requests of the route that have become late. Those on flows of
+// a former process get no answer, so they end: they take no slot of the upstream.
 func (e *Engine) checkLate(now time.Time, r *route) {
 	limit := r.typical.lateAfter()
 	if limit == 0 || e.options.Without.Has(MuteDetection) {
 		return
 	}
-	for rec := r.outstanding.first; rec != nil && now.Sub(rec.requestedAt) > limit; rec = rec.links.next {
-		if !rec.late && now.Sub(rec.requestedAt) <= limit+lateNotice {
+	for rec := r.outstanding.first; rec != nil && now.Sub(rec.requestedAt) > limit; {
+		next := rec.links.next
+		switch {
+		case e.holderOf(rec) == FormerProcess:
+			rec.endRequest()
+		case !rec.late && now.Sub(rec.requestedAt) <= limit+lateNotice:
 			e.countLate(now, rec)
 		}
+		rec = next
 	}
 }
 
--- a/internal/flow/echo/process_test.go
+++ b/internal/flow/echo/process_test.go
@@ -216,3 +216,20 @@
 	entries := h.engine.Evidence(h.now, map[catalog.UpstreamID]struct{}{1: {}})
 	g.Expect(entries[0].Started).To(Equal(h.now.UnixMilli()))
 }
+
+// TestRequestsOnFlowsOfAFormerProcessTakeNoSlots guards against an upstream that gets hardly any
+// new flows after it has started again, because requests of its former process seem to fill it.
+func TestRequestsOnFlowsOfAFormerProcessTakeNoSlots(t *testing.T) {
+	g := NewWithT(t)
+	h := newHarness(t, tenUpstreams()...)
+	flows := h.openOnEach(10, 6)
+	h.learnUsualAnswers()
+	h.restartUpstream(1)
+	recent := h.engine.upstreams[1].recent.count
+	h.leaveLate(flows[2][0], flows[1]...)
+	g.Expect(h.engine.upstreams[1].outstanding).To(BeZero())
+	g.Expect(h.engine.upstreams[1].recent.count).To(Equal(recent))
+	const n = 100
+	got := h.serve(n, func(catalog.UpstreamID) bool { return false })
+	g.Expect(got[1]).To(BeNumerically(">=", n/10/2), "half of its share at least")
+}
