--- a/review/rig2/main.go
+++ b/review/rig2/main.go
@@ -21,8 +21,9 @@
 
 // cases are the scripted cases by name. Each returns errBroken if its rule was broken.
 var cases = map[string]func(r *rig, trouble bool) error{
-	"drain-slow": drainSlow,
-	"burst-slow": burstSlow,
+	"drain-slow":    drainSlow,
+	"burst-slow":    burstSlow,
+	"foreign-entry": foreignEntry,
 }
 
 func main() { os.Exit(run()) }
