--- a/review/rig2/main.go
+++ b/review/rig2/main.go
@@ -21,9 +21,10 @@
 
 // cases are the scripted cases by name. Each returns errBroken if its rule was broken.
 var cases = map[string]func(r *rig, trouble bool) error{
-	"drain-slow":    drainSlow,
-	"burst-slow":    burstSlow,
-	"foreign-entry": foreignEntry,
+	"cold-take-back": coldTakeBack,
+	"drain-slow":     drainSlow,
+	"burst-slow":     burstSlow,
+	"foreign-entry":  foreignEntry,
 }
 
 func main() { os.Exit(run()) }
