--- a/review/rig2/main.go
+++ b/review/rig2/main.go
@@ -24,6 +24,7 @@
 	"cold-take-back": coldTakeBack,
 	"drain-slow":     drainSlow,
 	"burst-slow":     burstSlow,
+	"moved-route":    movedRoute,
 	"foreign-entry":  foreignEntry,
 }
 
