--- a/review/rig2/burst_slow.go
+++ b/review/rig2/burst_slow.go
@@ -10,13 +10,14 @@
 
 // burstSlow checks FLOW while many users come at once. Most downloads of a service take some
 // milliseconds, some take 2 s. The usual users leave slots free on each target; in a burst there
-// are 1.67 times as many, and all slots of a target are busy.
+// are 2.5 times as many, and all slots of a target are busy.
 func burstSlow(r *rig, trouble bool) error {
 	const (
-		quickUsers, moreQuickUsers = 6, 4
-		slowUsers, moreSlowUsers   = 3, 2
-		burst                      = 3300 * time.Millisecond
-		bursts                     = 4
+		rosterUsers                = 6
+		quickUsers, moreQuickUsers = 6, 9
+		slowUsers, moreSlowUsers   = 2, 3
+		burst                      = 6 * time.Second
+		bursts                     = 5
 	)
 	if err := smallDeployment(r, "zone-a", "zone-b"); err != nil {
 		return err
@@ -39,10 +40,10 @@
 	seen := &resets{rig: r}
 	clients := 0
 	var users sync.WaitGroup
-	// start lets users of rosters, as many of quick downloads and users of slow ones begin. They
-	// end once stop is closed.
-	start := func(name string, quickUsers, slowUsers int, stop <-chan struct{}) error {
-		for i := range 2*quickUsers + slowUsers {
+	// start lets users of rosters, of quick downloads and of slow ones begin. They end once stop
+	// is closed.
+	start := func(name string, rosterUsers, quickUsers, slowUsers int, stop <-chan struct{}) error {
+		for i := range rosterUsers + quickUsers + slowUsers {
 			clients++
 			c, err := r.newClient("zone-a", netip.AddrFrom4([4]byte{127, 0, 2, byte(clients)}))
 			if err != nil {
@@ -51,9 +52,9 @@
 			users.Go(func() {
 				time.Sleep(time.Duration(i) * 60 * time.Millisecond)
 				switch {
-				case i < quickUsers:
+				case i < rosterUsers:
 					quickRequests(c, fmt.Sprintf("%s-roster%d", name, i), rosterAddress, 50, 300*time.Millisecond, stop, seen)
-				case i < 2*quickUsers:
+				case i < rosterUsers+quickUsers:
 					quickRequests(c, fmt.Sprintf("%s-plan%d", name, i), planAddress, 5, 400*time.Millisecond, stop, seen)
 				default:
 					slowDownloads(c, fmt.Sprintf("%s-slow%d", name, i), stop, seen)
@@ -63,15 +64,15 @@
 		return nil
 	}
 	stop := make(chan struct{})
-	if err := start("usual", quickUsers, slowUsers, stop); err != nil {
+	if err := start("usual", rosterUsers, quickUsers, slowUsers, stop); err != nil {
 		return err
 	}
 	for n := range bursts {
-		time.Sleep(8 * time.Second)
+		time.Sleep(7 * time.Second)
 		stopBurst := make(chan struct{})
 		if trouble {
-			r.logf("burst %d: 1.67 times the usual users for %s", n+1, burst)
-			if err := start(fmt.Sprintf("burst%d", n+1), moreQuickUsers, moreSlowUsers, stopBurst); err != nil {
+			r.logf("burst %d: 2.5 times the usual users of downloads for %s", n+1, burst)
+			if err := start(fmt.Sprintf("burst%d", n+1), 0, moreQuickUsers, moreSlowUsers, stopBurst); err != nil {
 				return err
 			}
 		}
